Frame: build, style, checks, messages, micro-kernel

Cause: everything later hangs on one build, one style and one set of interfaces, so they come first. Ruled out: hand-written JSON codecs; protobuf's JSON mapping is what the etcd gateway speaks, and one schema serves the store, the peers and the operators. Conclusion: the modules can be written side by side.

--- /dev/null
+++ b/src/azurelb/store/store_reply.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <azurelb/store/store_error.hpp>
+
+#include <azurelb/wire/etcd.pb.h>
+
+namespace azurelb {
+
+/** The outcome of a store call. The response is valid only if the error is none. */
+struct store_reply
+{
+    store_error error{store_error::none};
+    wire::etcd::txn_response response{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelbd/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
