Interfaces of the daemon's services, log and metrics

Cause: parts that stand side by side need their borders first. Ruled out: a bus of untyped messages between services; typed interfaces found by name keep each part mockable. Conclusion: modules can now be written against these headers.

--- /dev/null
+++ b/src/azurelb/config/fleet_view.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <azurelb/config/fwd.hpp>
+#include <azurelb/core/identifier.hpp>
+#include <azurelb/wire/fleet.pb.h>
+
+#include <unordered_map>
+
+namespace azurelb {
+
+/** Pool and maintenance state of every VM at one revision. It never changes. */
+class fleet_view
+{
+public:
+    /** The empty fleet, at revision 0. */
+    fleet_view() = default;
+
+    fleet_view(wire::fleet_document document, revision at);
+
+    fleet_view(const fleet_view &) = delete;
+    fleet_view &operator=(const fleet_view &) = delete;
+
+    [[nodiscard]] const wire::fleet_document &document() const noexcept { return m_document; }
+
+    [[nodiscard]] revision at() const noexcept { return m_at; }
+
+    /** Null if the VM is in no pool. */
+    [[nodiscard]] const wire::fleet_vm *find(const vm_id &vm) const noexcept;
+
+private:
+    wire::fleet_document m_document{};
+    revision m_at{};
+    std::unordered_map<vm_id, const wire::fleet_vm *> m_vms{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace azurelb {
+
+class limit_service;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/log/field.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <azurelb/log/fwd.hpp>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace azurelb {
+
+/** One named value of a log line. Keys and bodies of callers never become fields. */
+struct field
+{
+    field(std::string_view fieldName, std::string_view text)
+        : name{fieldName}
+        , value{text}
+    { }
+
+    template <typename Number>
+    requires std::integral<Number> || std::floating_point<Number> field(std::string_view fieldName,
+                                                                        Number number)
+        : name{fieldName}
+        , value{std::to_string(number)}
+    { }
+
+    std::string_view name;
+    std::string value;
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/log/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace azurelb {
+
+enum class event : int;
+enum class severity : int;
+struct event_entry;
+struct field;
+struct log_options;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/membership/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace azurelb {
+
+struct member;
+class membership;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/metrics/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace azurelb {
+
+class metrics;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/metrics/metrics.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <azurelb/core/service.hpp>
+#include <azurelb/metrics/fwd.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+} // namespace prometheus
+
+namespace azurelb {
+
+/** The process's metrics. References stay valid for the life of the service. */
+class metrics final : public service
+{
+public:
+    using labels = std::map<std::string, std::string>;
+
+    /** Name of the service in the kernel. */
+    static constexpr std::string_view serviceName{"metrics"};
+
+    metrics();
+    ~metrics() override;
+
+    [[nodiscard]] std::string_view name() const noexcept override { return serviceName; }
+    void start(kernel &) override { }
+    void stop() noexcept override { }
+
+    /** Counter of that name and labels; the same arguments give the same counter. */
+    [[nodiscard]] prometheus::Counter &counter(const std::string &metric, const std::string &help,
+                                               const labels &with = {});
+
+    [[nodiscard]] prometheus::Gauge &gauge(const std::string &metric, const std::string &help,
+                                           const labels &with = {});
+
+    /** Histogram with the upper bounds of its buckets, in the metric's unit. */
+    [[nodiscard]] prometheus::Histogram &histogram(const std::string &metric,
+                                                   const std::string &help,
+                                                   const std::vector<double> &bounds,
+                                                   const labels &with = {});
+
+    /** All metrics in Prometheus' text format. */
+    [[nodiscard]] std::string text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+};
+
+} // namespace azurelb
--- a/tools/preprocess_command.py
+++ b/tools/preprocess_command.py
@@ -12,8 +12,9 @@
         if Path(entry["file"]).resolve() != source:
             continue
         words = shlex.split(entry["command"])
-        if Path(words[0]).name == "ccache":
-            words = words[1:]
+        # Leave out the compiler launcher: cmake -E env NAME=VALUE... ccache.
+        launcher = [i for i, word in enumerate(words) if Path(word).name == "ccache"]
+        words = words[launcher[0] + 1 :] if launcher else words
         output = words.index("-o")
         words = words[:output] + words[output + 2 :]
         words = [word for word in words if word != "-c"] + ["-E", "-P"]
