--- /dev/null
+++ b/src/azurelb/core/await_callback.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace azurelb {
+
+/**
+ * Waits in a coroutine for the one call of a handler. start is called at once with that handler, a
+ * callable that takes a Result. Gives no value if the coroutine is cancelled first; the handler may
+ * then still be called, without effect.
+ */
+template<typename Result, typename Start>
+[[nodiscard]] boost::asio::awaitable<std::optional<Result>>
+awaitCallback(boost::asio::io_context &loop, Start start)
+{
+    struct wait_state
+    {
+        boost::asio::steady_timer timer;
+        std::optional<Result> result{};
+    };
+    auto state = std::make_shared<wait_state>(wait_state{
+        boost::asio::steady_timer{loop, boost::asio::steady_timer::time_point::max()}, {}});
+    start([state](const Result &result) {
+        state->result = result;
+        state->timer.cancel();
+    });
+    boost::system::error_code ended;
+    if (!state->result)
+        co_await state->timer.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ended));
+    co_return std::move(state->result);
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/core/digest.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace azurelb {
+
+/**
+ * SHA-256 of the parts, 32 bytes. Each part is preceded by its length, so that different parts
+ * never give the same input.
+ */
+[[nodiscard]] std::string digestOf(std::initializer_list<std::string_view> parts);
+
+/** Lower-case hexadecimal digits of the bytes. */
+[[nodiscard]] std::string toHex(std::string_view bytes);
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/http/http_session.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <azurelb/http/http_limits.hpp>
+#include <azurelb/http/message.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+#include <optional>
+#include <unordered_set>
+
+namespace azurelb {
+
+/** One connection of a caller. It keeps itself alive until run() ends. */
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+    /** What the sessions of one server have in common. */
+    struct shared_state
+    {
+        shared_state(const http_limits &bounds, http_handler serve);
+
+        /** Closes the connections that wait for a request. */
+        void closeIdle() noexcept;
+        void closeAll() noexcept;
+
+        http_limits limits;
+        http_handler handler;
+        std::unordered_set<http_session *> sessions{};
+        std::size_t inFlight{0};
+        /** Each answer asks its caller to close. */
+        bool closing{false};
+    };
+
+    http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<shared_state> shared);
+    http_session(const http_session &) = delete;
+    http_session &operator=(const http_session &) = delete;
+    ~http_session();
+
+    /** Serves requests until the connection ends. */
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+private:
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    [[nodiscard]] boost::asio::awaitable<bool> waitForRequest();
+    [[nodiscard]] boost::asio::awaitable<bool> serveOne();
+    [[nodiscard]] boost::asio::awaitable<bool> readRequest(request_parser &parser);
+    [[nodiscard]] boost::asio::awaitable<std::optional<http_response>>
+    handle(const http_request &request);
+    [[nodiscard]] boost::asio::awaitable<void> watchCaller();
+    [[nodiscard]] boost::asio::awaitable<bool> write(http_response response, bool keepAlive);
+    [[nodiscard]] boost::asio::awaitable<void> writeContinue();
+    /** Discards what the caller still sends, so that closing does not destroy the answer. */
+    [[nodiscard]] boost::asio::awaitable<void> linger();
+    [[nodiscard]] boost::asio::awaitable<void> refuse(boost::system::error_code failure);
+    void close() noexcept;
+
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer{};
+    std::shared_ptr<shared_state> m_shared;
+    bool m_idle{true};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/operations/make_status.cpp
@@ -0,0 +1,84 @@
+#include <azurelb/config/config_view.hpp>
+#include <azurelb/config/document_source.hpp>
+#include <azurelb/config/fleet_view.hpp>
+#include <azurelb/membership/member.hpp>
+#include <azurelb/membership/membership.hpp>
+#include <azurelb/operations/make_status.hpp>
+#include <azurelb/upstream/upstream_directory.hpp>
+
+namespace azurelb {
+
+namespace {
+
+bool isServing(const wire::fleet_vm &vm)
+{
+    return vm.state() == wire::VM_STATE_SERVING;
+}
+
+void addPools(wire::status &status, const config_view &config, const fleet_view &fleet)
+{
+    for (const wire::pool &pool : config.document().pools()) {
+        wire::pool_status &added = *status.add_pools();
+        added.set_name(pool.name());
+        added.set_budget(pool.unavailable_vms());
+        for (const wire::fleet_vm &vm : fleet.document().vms()) {
+            if (vm.pool() != pool.name())
+                continue;
+            added.set_vms(added.vms() + 1);
+            added.set_serving(added.serving() + (isServing(vm) ? 1 : 0));
+        }
+        added.set_unavailable(added.vms() - added.serving());
+    }
+}
+
+void addZones(wire::status &status, const config_view &config, const fleet_view &fleet)
+{
+    for (const wire::availability_zone &zone : config.document().zones()) {
+        wire::zone_status &added = *status.add_zones();
+        added.set_name(zone.name());
+        added.set_out(zone.out());
+        for (const wire::fleet_vm &vm : fleet.document().vms()) {
+            if (vm.zone() != zone.name())
+                continue;
+            added.set_vms(added.vms() + 1);
+            added.set_serving(added.serving() + (isServing(vm) ? 1 : 0));
+        }
+    }
+}
+
+void addQueues(wire::status &status, const config_view &config,
+               const upstream_directory &upstreams)
+{
+    for (const wire::queue &queue : config.document().queues()) {
+        wire::queue_status &added = *status.add_queues();
+        added.set_name(queue.name());
+        added.set_pool(queue.pool());
+        for (const upstream_vm &each : upstreams.eligible(queue_name{queue.name()})) {
+            added.set_upstreams(added.upstreams() + 1);
+            added.set_slots(added.slots() + each.slots);
+        }
+    }
+}
+
+} // namespace
+
+void addFleetStatus(wire::status &status, const document_source &documents,
+                    const membership &members, const upstream_directory &upstreams)
+{
+    const config_view_ptr config = documents.config();
+    const fleet_view_ptr fleet = documents.fleet();
+    status.set_confirmed(documents.isConfirmed());
+    status.set_config_revision(static_cast<std::int64_t>(config->at()));
+    status.set_fleet_revision(static_cast<std::int64_t>(fleet->at()));
+    status.set_config_generation(config->document().generation());
+    for (const member &each : members.fresh()) {
+        wire::member_status &added = *status.add_members();
+        added.set_vm(each.vm.value());
+        added.set_self(each.vm.value() == status.vm());
+    }
+    addPools(status, *config, *fleet);
+    addZones(status, *config, *fleet);
+    addQueues(status, *config, upstreams);
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/attempt_loop.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/http/message.hpp>
+#include <azurelb/metrics/fwd.hpp>
+#include <azurelb/request/attempt_end.hpp>
+#include <azurelb/request/caller_request.hpp>
+#include <azurelb/request/fwd.hpp>
+#include <azurelb/request/retry_budget.hpp>
+#include <azurelb/share/slot_grant.hpp>
+#include <azurelb/share/slot_request.hpp>
+#include <azurelb/upstream/exchange_result.hpp>
+#include <azurelb/upstream/fwd.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <random>
+#include <unordered_map>
+
+namespace prometheus {
+class Counter;
+} // namespace prometheus
+
+namespace azurelb {
+
+/** Takes one request through slots and upstreams until it is answered or must be given up. */
+class attempt_loop
+{
+public:
+    attempt_loop(boost::asio::io_context &loop, const clock_source &clock, slot_service &slots,
+                 connection_pool &connections, metrics &counters);
+    attempt_loop(const attempt_loop &) = delete;
+    attempt_loop &operator=(const attempt_loop &) = delete;
+
+    /** Runs the request. If it is cancelled, its slot and its connection are freed at once. */
+    [[nodiscard]] boost::asio::awaitable<attempt_end> run(const caller_request &request);
+
+private:
+    [[nodiscard]] boost::asio::awaitable<slot_grant> awaitSlot(const slot_request &wanted);
+    [[nodiscard]] boost::asio::awaitable<exchange_result> attempt(const caller_request &request,
+                                                                  const upstream_vm &upstream);
+    [[nodiscard]] bool mayRetry(const caller_request &request, const exchange_result &ended,
+                                unsigned attempts);
+    [[nodiscard]] http_request messageFor(const caller_request &request);
+    void count(attempt_state state);
+
+    boost::asio::io_context &m_loop;
+    const clock_source &m_clock;
+    slot_service &m_slots;
+    connection_pool &m_connections;
+    std::unordered_map<queue_name, retry_budget> m_budgets{};
+    std::mt19937_64 m_random;
+    prometheus::Counter *m_attempts[4];
+    prometheus::Counter &m_retriesRefused;
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/attempt_policy.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <azurelb/request/fwd.hpp>
+#include <azurelb/upstream/attempt_state.hpp>
+
+namespace azurelb {
+
+/** What decides whether a request may be tried on another upstream. */
+struct attempt_policy
+{
+    bool idempotent{false};
+    /** Attempts made so far. */
+    unsigned attempts{0};
+};
+
+/** Attempts that one request may take, with the first. */
+inline constexpr unsigned mostAttempts{4};
+
+/**
+ * True if the attempt's end leaves no way in which another one could run the request a second time
+ * with effect: it was not sent, was refused, or is idempotent.
+ */
+[[nodiscard]] bool isRetryable(attempt_state ended, const attempt_policy &policy) noexcept;
+
+/** True if the retry puts load on the upstreams and is to be paid from the budget. */
+[[nodiscard]] bool needsBudget(attempt_state ended) noexcept;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/caller_api.cpp
@@ -0,0 +1,182 @@
+#include <azurelb/config/config_view.hpp>
+#include <azurelb/config/document_source.hpp>
+#include <azurelb/core/clock_source.hpp>
+#include <azurelb/core/kernel.hpp>
+#include <azurelb/http/http_server.hpp>
+#include <azurelb/http/problem_response.hpp>
+#include <azurelb/metrics/metrics.hpp>
+#include <azurelb/request/attempt_loop.hpp>
+#include <azurelb/request/caller_api.hpp>
+#include <azurelb/request/claim_registry.hpp>
+#include <azurelb/request/claim_response.hpp>
+#include <azurelb/request/request_check.hpp>
+#include <azurelb/share/slot_service.hpp>
+#include <azurelb/store/store.hpp>
+#include <azurelb/upstream/connection_pool.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace azurelb {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/** The upstream's answer without what concerns only its own hop. */
+http_response returned(http_response response)
+{
+    constexpr http::field removed[]{http::field::connection, http::field::keep_alive,
+                                    http::field::transfer_encoding, http::field::trailer,
+                                    http::field::upgrade};
+    for (const http::field each : removed)
+        response.erase(each);
+    response.erase("X-Request-Id");
+    constexpr unsigned http11 = 11;
+    response.version(http11);
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace
+
+caller_api::caller_api(asio::io_context &loop, const clock_source &clock,
+                       const caller_options &options, const connection_options &connections)
+    : m_loop{loop}
+    , m_clock{clock}
+    , m_options{options}
+    , m_connectionOptions{connections}
+    , m_housekeeping{loop}
+{ }
+
+caller_api::~caller_api() = default;
+
+void caller_api::start(kernel &services)
+{
+    auto &platform = services.find<store>(store::serviceName);
+    auto &slots = services.find<slot_service>(slot_service::serviceName);
+    auto &counters = services.find<metrics>(metrics::serviceName);
+    m_documents = &services.find<document_source>(document_source::serviceName);
+    m_connections = std::make_unique<connection_pool>(m_loop, m_clock, m_connectionOptions);
+    m_attempts = std::make_unique<attempt_loop>(m_loop, m_clock, slots, *m_connections, counters);
+    m_claims = std::make_unique<claim_registry>(m_loop, m_clock, platform);
+    m_server = std::make_unique<http_server>(
+        m_loop, m_options.listen, m_options.limits,
+        [this](const http_request &message) { return handle(message); });
+    m_server->start();
+    keepHouse();
+}
+
+void caller_api::stop() noexcept
+{
+    m_housekeeping.cancel();
+    if (m_server)
+        m_server->close();
+}
+
+void caller_api::setReady(bool ready) noexcept
+{
+    m_ready = ready;
+}
+
+std::uint16_t caller_api::port() const
+{
+    return m_server->port();
+}
+
+void caller_api::announceClose() noexcept
+{
+    m_server->announceClose();
+}
+
+void caller_api::drain(std::chrono::milliseconds grace)
+{
+    m_server->drain(grace);
+}
+
+std::size_t caller_api::inFlight() const noexcept
+{
+    return m_server->inFlight() + m_claimedRuns;
+}
+
+asio::awaitable<http_response> caller_api::handle(const http_request &message)
+{
+    const auto target = message.target();
+    if (target == "/healthz")
+        co_return jsonResponse(http::status::ok, "{\"live\":true}");
+    if (target == "/readyz")
+        co_return readiness();
+    co_return co_await serve(message);
+}
+
+asio::awaitable<http_response> caller_api::serve(const http_request &message)
+{
+    const config_view_ptr config = m_documents->config();
+    checked_request checked = checkRequest(message, *config, m_options, m_clock.now());
+    if (checked.error)
+        co_return problemResponse(*checked.error);
+    if (checked.request.idempotencyKey.empty() || checked.request.idempotent) {
+        attempt_end end = co_await m_attempts->run(checked.request);
+        co_return end.answered ? returned(std::move(end.response)) : std::move(end.response);
+    }
+    // Runs to its end even if the caller goes away, so that the answer is there for a repeat.
+    co_return co_await asio::co_spawn(m_loop, runClaimed(std::move(checked.request)),
+                                      asio::use_awaitable);
+}
+
+asio::awaitable<http_response> caller_api::runClaimed(caller_request request)
+{
+    co_await asio::this_coro::reset_cancellation_state(asio::disable_cancellation());
+    ++m_claimedRuns;
+    http_response response = co_await claimAndRun(request);
+    --m_claimedRuns;
+    co_return response;
+}
+
+asio::awaitable<http_response> caller_api::claimAndRun(const caller_request &request)
+{
+    const claim_result claim = co_await m_claims->claim(request);
+    if (claim.state != claim_state::claimed)
+        co_return claimResponse(claim);
+    co_return co_await runOwn(request, claim);
+}
+
+asio::awaitable<http_response> caller_api::runOwn(const caller_request &request,
+                                                  const claim_result &own)
+{
+    attempt_end end = co_await m_attempts->run(request);
+    if (end.run == run_state::not_run)
+        co_await m_claims->withdraw(own);
+    if (!end.answered)
+        co_return std::move(end.response);
+    http_response response = returned(std::move(end.response));
+    co_await m_claims->complete(own, response);
+    co_return response;
+}
+
+http_response caller_api::readiness() const
+{
+    if (m_ready && m_documents->isConfirmed())
+        return jsonResponse(http::status::ok, "{\"ready\":true}");
+    return jsonResponse(http::status::service_unavailable, "{\"ready\":false}");
+}
+
+void caller_api::keepHouse()
+{
+    constexpr std::chrono::seconds interval{1};
+    constexpr std::chrono::hours trimInterval{1};
+    m_connections->expire();
+    const bool trimDue = m_clock.now() - m_lastTrim >= trimInterval;
+    if (trimDue && m_lastTrim != time_point{})
+        m_claims->trim();
+    if (trimDue)
+        m_lastTrim = m_clock.now();
+    m_housekeeping.expires_after(interval);
+    m_housekeeping.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            keepHouse();
+    });
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/caller_api.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <azurelb/config/fwd.hpp>
+#include <azurelb/core/service.hpp>
+#include <azurelb/http/message.hpp>
+#include <azurelb/metrics/fwd.hpp>
+#include <azurelb/request/caller_options.hpp>
+#include <azurelb/request/fwd.hpp>
+#include <azurelb/upstream/connection_options.hpp>
+#include <azurelb/upstream/fwd.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace azurelb {
+
+class http_server;
+struct attempt_end;
+struct caller_request;
+struct claim_result;
+
+/**
+ * The callers' interface: POST or any other method on /v1/queues/{queue}, and /healthz and /readyz
+ * for the balancer.
+ */
+class caller_api final : public service
+{
+public:
+    /** Name of the service in the kernel. */
+    static constexpr std::string_view serviceName{"caller_api"};
+
+    caller_api(boost::asio::io_context &loop, const clock_source &clock,
+               const caller_options &options, const connection_options &connections);
+    ~caller_api() override;
+
+    [[nodiscard]] std::string_view name() const noexcept override { return serviceName; }
+    void start(kernel &services) override;
+    void stop() noexcept override;
+
+    /** Sets what /readyz answers. */
+    void setReady(bool ready) noexcept;
+
+    [[nodiscard]] bool isReady() const noexcept { return m_ready; }
+
+    /** The port listened on. */
+    [[nodiscard]] std::uint16_t port() const;
+
+    /** Asks callers to close their connections after the next answer. */
+    void announceClose() noexcept;
+
+    /** Takes no new connections; idle ones are closed after the grace. */
+    void drain(std::chrono::milliseconds grace);
+
+    /** Requests in flight, with those whose caller has gone away but whose key is claimed. */
+    [[nodiscard]] std::size_t inFlight() const noexcept;
+
+private:
+    [[nodiscard]] boost::asio::awaitable<http_response> handle(const http_request &message);
+    [[nodiscard]] boost::asio::awaitable<http_response> serve(const http_request &message);
+    [[nodiscard]] boost::asio::awaitable<http_response> runClaimed(caller_request request);
+    [[nodiscard]] boost::asio::awaitable<http_response> claimAndRun(const caller_request &request);
+    [[nodiscard]] boost::asio::awaitable<http_response> runOwn(const caller_request &request,
+                                                               const claim_result &own);
+    [[nodiscard]] http_response readiness() const;
+    void keepHouse();
+
+    boost::asio::io_context &m_loop;
+    const clock_source &m_clock;
+    caller_options m_options;
+    connection_options m_connectionOptions;
+    document_source *m_documents{nullptr};
+    std::unique_ptr<connection_pool> m_connections;
+    std::unique_ptr<attempt_loop> m_attempts;
+    std::unique_ptr<claim_registry> m_claims;
+    std::unique_ptr<http_server> m_server;
+    boost::asio::steady_timer m_housekeeping;
+    time_point m_lastTrim{};
+    std::size_t m_claimedRuns{0};
+    bool m_ready{false};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/claim_response.cpp
@@ -0,0 +1,55 @@
+#include <azurelb/http/problem_response.hpp>
+#include <azurelb/request/claim_response.hpp>
+#include <azurelb/request/claim_result.hpp>
+
+namespace azurelb {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::chrono::seconds repeatPause{1};
+
+http_response keptAnswer(const wire::claim &record)
+{
+    if (record.body_omitted())
+        return problemResponse({http::status::conflict,
+                                run_state::ran,
+                                "answer-not-kept",
+                                "the request ran; its answer was too large to be kept",
+                                {}});
+    http_response response =
+        jsonResponse(static_cast<http::status>(record.status()), record.body());
+    response.set(http::field::content_type, record.content_type());
+    response.set("Idempotency-Replayed", "true");
+    return response;
+}
+
+} // namespace
+
+http_response claimResponse(const claim_result &claim)
+{
+    switch (claim.state) {
+    case claim_state::answered:
+        return keptAnswer(claim.record);
+    case claim_state::in_flight:
+        return problemResponse({http::status::conflict, run_state::unknown, "in-flight",
+                                "a request with this Idempotency-Key is in flight, or its end "
+                                "is not known",
+                                repeatPause});
+    case claim_state::mismatch:
+        return problemResponse({http::status::unprocessable_entity,
+                                run_state::not_run,
+                                "key-reused",
+                                "this Idempotency-Key belongs to a different request",
+                                {}});
+    case claim_state::claimed:
+    case claim_state::unavailable:
+        break;
+    }
+    return problemResponse({http::status::service_unavailable, run_state::not_run,
+                            "claim-unavailable",
+                            "the Idempotency-Key cannot be recorded at the moment", repeatPause});
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/fwd.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace azurelb {
+
+struct attempt_end;
+struct attempt_policy;
+struct caller_options;
+struct caller_request;
+struct checked_request;
+struct claim_result;
+enum class claim_state;
+class attempt_loop;
+class caller_api;
+class claim_registry;
+class retry_budget;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/settings/environment_flags.cpp
@@ -0,0 +1,40 @@
+#include <azurelb/settings/environment_flags.hpp>
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+
+namespace azurelb {
+
+namespace {
+
+std::string variableOf(const std::string &flag)
+{
+    std::string variable{"AZURELB_" + flag};
+    std::transform(variable.begin(), variable.end(), variable.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::toupper(letter));
+    });
+    return variable;
+}
+
+} // namespace
+
+std::vector<settings_fault> setFlagsFromEnvironment(std::string_view sourceFile)
+{
+    std::vector<settings_fault> faults;
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const auto &flag : flags) {
+        const std::string variable = variableOf(flag.name);
+        const char *value = std::getenv(variable.c_str());
+        if (!value || !flag.is_default || !flag.filename.ends_with(sourceFile))
+            continue;
+        if (gflags::SetCommandLineOption(flag.name.c_str(), value).empty())
+            faults.push_back({variable, value, "a value of type " + flag.type});
+    }
+    return faults;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/settings/fwd.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace azurelb {
+
+struct operator_setting;
+struct peer_setting;
+struct settings;
+struct settings_fault;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/settings/read_settings.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <azurelb/settings/settings.hpp>
+#include <azurelb/settings/settings_fault.hpp>
+
+#include <variant>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * Reads the daemon's flags and, for flags that are not given, the environment variables
+ * AZURELB_<FLAG IN UPPER CASE>. All faults are returned at once. Ends the process for --help and
+ * --version, as gflags does.
+ */
+[[nodiscard]] std::variant<settings, std::vector<settings_fault>> readSettings(int argc,
+                                                                               char **argv);
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/upstream/connection_pool.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/upstream/connection_options.hpp>
+#include <azurelb/upstream/fwd.hpp>
+#include <azurelb/upstream/upstream_connection.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace azurelb {
+
+/** The daemon's connections to upstreams, bounded for each upstream. */
+class connection_pool
+{
+public:
+    using value_type = upstream_connection_ptr;
+    using size_type = std::size_t;
+
+    connection_pool(boost::asio::io_context &loop, const clock_source &clock,
+                    const connection_options &options);
+    connection_pool(const connection_pool &) = delete;
+    connection_pool &operator=(const connection_pool &) = delete;
+    ~connection_pool();
+
+    /**
+     * An open connection, an idle one or a new one. Null if none can be made in time or the bound
+     * for the upstream is reached. Give it back by release().
+     */
+    [[nodiscard]] boost::asio::awaitable<value_type> acquire(std::string address,
+                                                             connection_need need);
+
+    /** Takes a connection back; it is kept if it can be used again. */
+    void release(value_type connection) noexcept;
+
+    /** Closes idle connections that are too old. Call now and then. */
+    void expire();
+
+    /** Connections to the upstream, in use and idle. */
+    [[nodiscard]] size_type size(const std::string &address) const noexcept;
+
+private:
+    struct upstream_entry
+    {
+        /** Oldest use first. */
+        std::deque<value_type> idle{};
+        size_type inUse{0};
+    };
+
+    [[nodiscard]] value_type takeIdle(upstream_entry &entry, connection_need need);
+    [[nodiscard]] boost::asio::awaitable<value_type> open(std::string address);
+
+    boost::asio::io_context &m_loop;
+    const clock_source &m_clock;
+    connection_options m_options;
+    std::unordered_map<std::string, upstream_entry> m_upstreams{};
+};
+
+} // namespace azurelb
--- a/src/azurelb/upstream/fwd.hpp
+++ b/src/azurelb/upstream/fwd.hpp
@@ -1,12 +1,20 @@
 #pragma once
 
 #include <memory>
-#include <vector>
 
 namespace azurelb {
 
 struct upstream_vm;
+struct connection_options;
+struct exchange_result;
 class upstream_directory;
+class view_upstream_directory;
+class upstream_connection;
+class connection_pool;
 enum class attempt_outcome;
+enum class attempt_state;
+enum class connection_need;
+
+using upstream_connection_ptr = std::unique_ptr<upstream_connection>;
 
 } // namespace azurelb
