--- a/src/azurelb/core/await_callback.hpp
+++ b/src/azurelb/core/await_callback.hpp
@@ -17,7 +17,7 @@
  * callable that takes a Result. Gives no value if the coroutine is cancelled first; the handler may
  * then still be called, without effect.
  */
-template<typename Result, typename Start>
+template <typename Result, typename Start>
 [[nodiscard]] boost::asio::awaitable<std::optional<Result>>
 awaitCallback(boost::asio::io_context &loop, Start start)
 {
--- a/src/azurelb/http/http_session.cpp
+++ b/src/azurelb/http/http_session.cpp
@@ -103,6 +103,7 @@
 http_session::http_session(asio::ip::tcp::socket socket, std::shared_ptr<shared_state> shared)
     : m_stream{std::move(socket)}
     , m_shared{std::move(shared)}
+    , m_readTimer{m_stream.get_executor()}
 {
     m_shared->sessions.insert(this);
 }
@@ -158,21 +159,38 @@
     boost::system::error_code failure;
     parser.header_limit(limits.headBytes);
     parser.body_limit(limits.bodyBytes);
-    m_stream.expires_after(limits.headTimeout);
+    m_stream.expires_never();
+    limitRead(limits.headTimeout);
     co_await http::async_read_header(m_stream, m_buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
     if (!failure && !parser.is_done()) {
-        m_stream.expires_after(limits.bodyTimeout);
+        limitRead(limits.bodyTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
             co_await writeContinue();
         co_await http::async_read(m_stream, m_buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, failure));
     }
+    m_readTimer.cancel();
+    if (failure && m_timedOut)
+        failure = beast::error::timeout;
     if (failure && isAnswerable(failure))
         co_await refuse(failure);
     co_return !failure;
 }
 
+void http_session::limitRead(std::chrono::milliseconds time)
+{
+    m_readTimer.expires_after(time);
+    m_readTimer.async_wait([self = weak_from_this()](const boost::system::error_code &cancelled) {
+        const auto session = self.lock();
+        if (cancelled || !session)
+            return;
+        boost::system::error_code ignored;
+        session->m_timedOut = true;
+        session->m_stream.socket().cancel(ignored);
+    });
+}
+
 asio::awaitable<std::optional<http_response>> http_session::handle(const http_request &request)
 {
     using namespace asio::experimental::awaitable_operators;
--- a/src/azurelb/http/http_session.hpp
+++ b/src/azurelb/http/http_session.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -50,6 +51,8 @@
     [[nodiscard]] boost::asio::awaitable<bool> waitForRequest();
     [[nodiscard]] boost::asio::awaitable<bool> serveOne();
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(request_parser &parser);
+    /** Ends the reads after the time, but leaves the connection open for an answer. */
+    void limitRead(std::chrono::milliseconds time);
     [[nodiscard]] boost::asio::awaitable<std::optional<http_response>>
     handle(const http_request &request);
     [[nodiscard]] boost::asio::awaitable<void> watchCaller();
@@ -63,7 +66,9 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer{};
     std::shared_ptr<shared_state> m_shared;
+    boost::asio::steady_timer m_readTimer;
     bool m_idle{true};
+    bool m_timedOut{false};
 };
 
 } // namespace azurelb
--- a/src/azurelb/operations/make_status.cpp
+++ b/src/azurelb/operations/make_status.cpp
@@ -46,8 +46,7 @@
     }
 }
 
-void addQueues(wire::status &status, const config_view &config,
-               const upstream_directory &upstreams)
+void addQueues(wire::status &status, const config_view &config, const upstream_directory &upstreams)
 {
     for (const wire::queue &queue : config.document().queues()) {
         wire::queue_status &added = *status.add_queues();
--- a/src/azurelb/operations/operator_api.cpp
+++ b/src/azurelb/operations/operator_api.cpp
@@ -53,9 +53,11 @@
 
 http_response errorResponse(change_error error, const std::string &detail)
 {
-    const auto matches = [error](const change_status &each) { return each.error == error; };
-    const auto *const found
-        = std::find_if(std::begin(changeStatuses), std::end(changeStatuses), matches);
+    const auto matches = [error](const change_status &each) {
+        return each.error == error;
+    };
+    const auto *const found =
+        std::find_if(std::begin(changeStatuses), std::end(changeStatuses), matches);
     return problemResponse({found->status, found->run, found->kind, detail, {}});
 }
 
@@ -111,8 +113,7 @@
     : m_loop{loop}
     , m_settings{options}
     , m_operators{options.operators}
-{
-}
+{ }
 
 operator_api::~operator_api() = default;
 
@@ -148,18 +149,28 @@
 operator_api::response_awaitable operator_api::handle(const http_request &request)
 {
     const std::string_view path = pathOf(request);
-    const auto samePath = [path](const route &each) { return each.path == path; };
+    const auto samePath = [path](const route &each) {
+        return each.path == path;
+    };
     const auto *const found = std::find_if(std::begin(routes), std::end(routes), samePath);
     if (found == std::end(routes))
-        co_return problemResponse({http::status::not_found, run_state::not_run, "unknown-path",
-                                   "there is nothing at this path", {}});
+        co_return problemResponse({http::status::not_found,
+                                   run_state::not_run,
+                                   "unknown-path",
+                                   "there is nothing at this path",
+                                   {}});
     if (found->needsOperator && operatorOf(request).empty())
-        co_return problemResponse({http::status::unauthorized, run_state::not_run, "unknown-token",
+        co_return problemResponse({http::status::unauthorized,
+                                   run_state::not_run,
+                                   "unknown-token",
                                    "an operator's token must come as Authorization: Bearer TOKEN",
                                    {}});
     if (found->method != request.method())
-        co_return problemResponse({http::status::method_not_allowed, run_state::not_run,
-                                   "wrong-method", "this path does not take this method", {}});
+        co_return problemResponse({http::status::method_not_allowed,
+                                   run_state::not_run,
+                                   "wrong-method",
+                                   "this path does not take this method",
+                                   {}});
     co_return co_await (this->*found->function)(request);
 }
 
--- a/src/azurelb/settings/environment_flags.cpp
+++ b/src/azurelb/settings/environment_flags.cpp
@@ -13,9 +13,8 @@
 std::string variableOf(const std::string &flag)
 {
     std::string variable{"AZURELB_" + flag};
-    std::transform(variable.begin(), variable.end(), variable.begin(), [](unsigned char letter) {
-        return static_cast<char>(std::toupper(letter));
-    });
+    std::transform(variable.begin(), variable.end(), variable.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::toupper(letter)); });
     return variable;
 }
 
--- a/src/azurelb/settings/read_settings.cpp
+++ b/src/azurelb/settings/read_settings.cpp
@@ -187,13 +187,11 @@
     checkRange(faults, "freshness_ms", FLAGS_freshness_ms, 500, 2500);
     checkRange(faults, "drain_delay_ms", FLAGS_drain_delay_ms, 0, 60'000);
     checkRange(faults, "longest_timeout_ms", FLAGS_longest_timeout_ms, 1, 600'000);
-    checkRange(faults, "request_timeout_ms", FLAGS_request_timeout_ms, 1,
-               FLAGS_longest_timeout_ms);
+    checkRange(faults, "request_timeout_ms", FLAGS_request_timeout_ms, 1, FLAGS_longest_timeout_ms);
     checkRange(faults, "body_bytes", FLAGS_body_bytes, 1, 256 * mebibyte);
     checkRange(faults, "answer_bytes", FLAGS_answer_bytes, 1, 256 * mebibyte);
     checkRange(faults, "caller_connections", FLAGS_caller_connections, 1, 100'000);
-    checkRange(faults, "upstream_connections", FLAGS_upstream_connections, FLAGS_entry_vms,
-               10'000);
+    checkRange(faults, "upstream_connections", FLAGS_upstream_connections, FLAGS_entry_vms, 10'000);
 
     read.entryVms = FLAGS_entry_vms;
     read.freshness = std::chrono::milliseconds{FLAGS_freshness_ms};
--- a/src/azurelb/upstream/view_upstream_directory.cpp
+++ b/src/azurelb/upstream/view_upstream_directory.cpp
@@ -17,7 +17,7 @@
     rebuild();
 }
 
-void view_upstream_directory::stop() noexcept {}
+void view_upstream_directory::stop() noexcept { }
 
 std::vector<upstream_vm> view_upstream_directory::eligible(const queue_name &queue) const
 {
--- /dev/null
+++ b/src/azurelb_cli/daemon_client.cpp
@@ -0,0 +1,135 @@
+#include <azurelb/http/message.hpp>
+#include <azurelb/http/parse_endpoint.hpp>
+#include <azurelb_cli/command_error.hpp>
+#include <azurelb_cli/daemon_client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace azurelb::cli {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/** How far one call came. */
+enum class progress { not_sent, sent, answered };
+
+struct call_state
+{
+    progress reached{progress::not_sent};
+    call_result result{};
+};
+
+asio::awaitable<void> exchange(const std::string &server, const http_request &request,
+                               std::chrono::milliseconds timeout, call_state &state)
+{
+    boost::beast::tcp_stream stream{co_await asio::this_coro::executor};
+    stream.expires_after(timeout);
+    co_await stream.async_connect(parseEndpoint(server), asio::use_awaitable);
+    state.reached = progress::sent;
+    co_await http::async_write(stream, request, asio::use_awaitable);
+
+    boost::beast::flat_buffer buffer;
+    http_response response;
+    co_await http::async_read(stream, buffer, response, asio::use_awaitable);
+    state.result.status = response.result_int();
+    state.result.contentType = std::string{response[http::field::content_type]};
+    state.result.body = std::move(response.body());
+    state.reached = progress::answered;
+}
+
+call_state call(const std::string &server, const http_request &request,
+                std::chrono::milliseconds timeout)
+{
+    asio::io_context loop;
+    call_state state;
+    asio::co_spawn(loop, exchange(server, request, timeout, state), [](const std::exception_ptr &) {
+        // The state tells how far the call came.
+    });
+    loop.run();
+    return state;
+}
+
+http_request makeRequest(http::verb method, std::string_view path, const std::string &body,
+                         const std::string &token)
+{
+    constexpr unsigned http11 = 11;
+    http_request request{method, path, http11};
+    request.set(http::field::host, "azurelb");
+    request.set(http::field::connection, "close");
+    if (!token.empty())
+        request.set(http::field::authorization, "Bearer " + token);
+    if (!body.empty())
+        request.set(http::field::content_type, "application/json");
+    request.body() = body;
+    request.prepare_payload();
+    return request;
+}
+
+std::string joined(const std::vector<std::string> &servers)
+{
+    std::string text;
+    for (const std::string &each : servers)
+        text += (text.empty() ? "" : ", ") + each;
+    return text;
+}
+
+/** Asks the servers in turn. mayRepeat tells whether another is asked once bytes were sent. */
+call_result callAny(const std::vector<std::string> &servers, const http_request &request,
+                    std::chrono::milliseconds timeout, bool mayRepeat)
+{
+    bool sent = false;
+    for (const std::string &server : servers) {
+        call_state state = call(server, request, timeout);
+        if (state.reached == progress::answered)
+            return std::move(state.result);
+        sent = sent || state.reached == progress::sent;
+        if (sent && !mayRepeat)
+            break;
+    }
+    if (sent && request.method() != http::verb::get)
+        throw command_error{exit_code::unknown,
+                            "no answer from " + joined(servers)
+                                + "; it cannot be told whether this took effect"};
+    throw command_error{exit_code::unreachable, "no daemon answers at " + joined(servers)};
+}
+
+} // namespace
+
+daemon_client::daemon_client(std::vector<std::string> servers, std::string token,
+                             milliseconds timeout)
+    : m_servers{std::move(servers)}
+    , m_token{std::move(token)}
+    , m_timeout{timeout}
+{ }
+
+call_result daemon_client::get(std::string_view path) const
+{
+    const auto request = makeRequest(http::verb::get, path, {}, m_token);
+    return callAny(m_servers, request, m_timeout, true);
+}
+
+call_result daemon_client::postRepeatable(std::string_view path, const std::string &body) const
+{
+    const auto request = makeRequest(http::verb::post, path, body, m_token);
+    return callAny(m_servers, request, m_timeout, true);
+}
+
+call_result daemon_client::postOnce(std::string_view path, const std::string &body,
+                                    const std::string &idempotencyKey) const
+{
+    http_request request = makeRequest(http::verb::post, path, body, m_token);
+    if (!idempotencyKey.empty())
+        request.set("Idempotency-Key", idempotencyKey);
+    return callAny(m_servers, request, m_timeout, !idempotencyKey.empty());
+}
+
+} // namespace azurelb::cli
--- /dev/null
+++ b/src/azurelb_cli/exit_code.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace azurelb::cli {
+
+/** Exit codes of the program, for scripts. */
+enum class exit_code : int {
+    done = 0,
+    /** The daemon refused; nothing was changed and nothing ran. */
+    refused = 1,
+    /** The command line is wrong; nothing was sent. */
+    usage = 2,
+    /** No daemon could be reached; nothing was changed and nothing ran. */
+    unreachable = 3,
+    /** It cannot be told whether the change was made or the request ran. */
+    unknown = 4
+};
+
+} // namespace azurelb::cli
--- /dev/null
+++ b/src/azurelb_cli/main.cpp
@@ -0,0 +1,67 @@
+#include <azurelb/settings/environment_flags.hpp>
+#include <azurelb_cli/command.hpp>
+#include <azurelb_cli/command_error.hpp>
+#include <azurelb_cli/daemon_client.hpp>
+#include <azurelb_cli/flags.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::cli;
+
+std::vector<std::string> servers()
+{
+    std::vector<std::string> parts;
+    std::istringstream stream{FLAGS_server};
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+// Secrets come by the environment only, so that they stand in no process list.
+std::string tokenFor(const command &found)
+{
+    const char *variable = found.words == "submit" ? "AZURELB_KEY" : "AZURELB_TOKEN";
+    const char *value = std::getenv(variable);
+    return value ? value : "";
+}
+
+void checkEnvironment()
+{
+    for (const settings_fault &fault : setFlagsFromEnvironment("azurelb_cli/flags.cpp"))
+        throw command_error{exit_code::usage,
+                            fault.setting + " is '" + fault.value + "'; allowed: " + fault.allowed};
+}
+
+void runCommand(const command_words &words)
+{
+    checkEnvironment();
+    const command &found = findCommand(words);
+    const daemon_client client{servers(), tokenFor(found),
+                               std::chrono::milliseconds{FLAGS_timeout_ms}};
+    const auto own = static_cast<std::ptrdiff_t>(words.size() - found.argumentCount);
+    found.run(client, {words.begin() + own, words.end()});
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(usageText());
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        runCommand({argv + 1, argv + argc});
+    } catch (const command_error &failure) {
+        std::cerr << "azurelb: " << failure.what() << '\n';
+        return static_cast<int>(failure.code());
+    } catch (const std::exception &failure) {
+        std::cerr << "azurelb: " << failure.what() << '\n';
+        return static_cast<int>(exit_code::refused);
+    }
+    return static_cast<int>(exit_code::done);
+}
--- /dev/null
+++ b/src/azurelb_cli/table.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace azurelb::cli {
+
+/** Rows of text in aligned columns, for people. */
+class table
+{
+public:
+    using value_type = std::vector<std::string>;
+
+    /** The head fixes the number of columns. */
+    explicit table(value_type head);
+
+    /** Adds a row with as many cells as the head. */
+    void emplace(value_type row);
+
+    void print(std::ostream &out) const;
+
+private:
+    std::vector<value_type> m_rows;
+};
+
+} // namespace azurelb::cli
--- a/src/azurelbd/main.cpp
+++ /dev/null
@@ -1,4 +0,0 @@
-int main()
-{
-    return 0;
-}
--- /dev/null
+++ b/test/azurelb/request/retry_budget_test.cpp
@@ -0,0 +1,62 @@
+#include <azurelb/request/attempt_policy.hpp>
+#include <azurelb/request/retry_budget.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace azurelb;
+
+class retry_budget_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(retry_budget_test);
+    CPPUNIT_TEST(boundsAddedLoad);
+    CPPUNIT_TEST(neverRepeatsWhatMayHaveRun);
+    CPPUNIT_TEST(paysForLoadOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Whatever the order, retries stay within the burst and a tenth of the first attempts. */
+    void boundsAddedLoad()
+    {
+        const bool holds = rc::check("retries <= burst + requests / 10", [] {
+            const auto wishes =
+                *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, mostAttempts));
+            retry_budget budget;
+            double requests = 0;
+            double retries = 0;
+            for (const unsigned wished : wishes) {
+                budget.deposit();
+                ++requests;
+                for (unsigned index = 0; index < wished && budget.withdraw(); ++index)
+                    ++retries;
+            }
+            RC_ASSERT(retries <= retry_budget::burstRetries + requests / 10.0 + 1e-6);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void neverRepeatsWhatMayHaveRun()
+    {
+        for (unsigned attempts = 1; attempts < mostAttempts; ++attempts) {
+            CPPUNIT_ASSERT(!isRetryable(attempt_state::unknown, {false, attempts}));
+            CPPUNIT_ASSERT(isRetryable(attempt_state::unknown, {true, attempts}));
+            CPPUNIT_ASSERT(isRetryable(attempt_state::not_sent, {false, attempts}));
+            CPPUNIT_ASSERT(isRetryable(attempt_state::refused, {false, attempts}));
+            CPPUNIT_ASSERT(!isRetryable(attempt_state::answered, {true, attempts}));
+        }
+        CPPUNIT_ASSERT(!isRetryable(attempt_state::not_sent, {true, mostAttempts}));
+    }
+
+    void paysForLoadOnly()
+    {
+        CPPUNIT_ASSERT(needsBudget(attempt_state::unknown));
+        CPPUNIT_ASSERT(needsBudget(attempt_state::refused));
+        CPPUNIT_ASSERT(!needsBudget(attempt_state::not_sent));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(retry_budget_test);
+
+} // namespace
