--- a/src/azurelb/http/http_server.cpp
+++ b/src/azurelb/http/http_server.cpp
@@ -1,6 +1,6 @@
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/http/http_server.hpp>
 #include <azurelb/http/http_session.hpp>
-#include <azurelb/http/parse_endpoint.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,7 +15,7 @@
 
 struct http_server::internals : public std::enable_shared_from_this<internals>
 {
-    internals(asio::io_context &onLoop, const http_limits &bounds, http_handler serve)
+    internals(asio::io_context &onLoop, const http_limits &bounds, request_handler serve)
         : loop{onLoop}
         , acceptor{onLoop}
         , shared{std::make_shared<http_session::shared_state>(bounds, std::move(serve))}
@@ -57,10 +57,13 @@
 };
 
 http_server::http_server(asio::io_context &loop, const std::string &address,
-                         const http_limits &limits, http_handler handler)
+                         const http_limits &limits, request_handler handler)
     : m_internals{std::make_shared<internals>(loop, limits, std::move(handler))}
 {
-    const tcp::endpoint endpoint = parseEndpoint(address);
+    const auto parsed = parseEndpoint(address);
+    if (!parsed)
+        throw boost::system::system_error{asio::error::invalid_argument, address};
+    const tcp::endpoint &endpoint = *parsed;
     tcp::acceptor &acceptor = m_internals->acceptor;
     acceptor.open(endpoint.protocol());
     acceptor.set_option(tcp::acceptor::reuse_address{true});
--- a/src/azurelb/http/http_server.hpp
+++ b/src/azurelb/http/http_server.hpp
@@ -23,7 +23,7 @@
 
     /** Throws boost::system::system_error if the address, "IP:PORT", cannot be listened on. */
     http_server(boost::asio::io_context &loop, const std::string &address,
-                const http_limits &limits, http_handler handler);
+                const http_limits &limits, request_handler handler);
 
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/azurelb/http/http_session.cpp
+++ b/src/azurelb/http/http_session.cpp
@@ -81,7 +81,7 @@
 
 } // namespace
 
-http_session::shared_state::shared_state(const http_limits &bounds, http_handler serve)
+http_session::shared_state::shared_state(const http_limits &bounds, request_handler serve)
     : limits{bounds}
     , handler{std::move(serve)}
 { }
--- a/src/azurelb/http/http_session.hpp
+++ b/src/azurelb/http/http_session.hpp
@@ -23,14 +23,14 @@
     /** What the sessions of one server have in common. */
     struct shared_state
     {
-        shared_state(const http_limits &bounds, http_handler serve);
+        shared_state(const http_limits &bounds, request_handler serve);
 
         /** Closes the connections that wait for a request. */
         void closeIdle() noexcept;
         void closeAll() noexcept;
 
         http_limits limits;
-        http_handler handler;
+        request_handler handler;
         std::unordered_set<http_session *> sessions{};
         std::size_t inFlight{0};
         /** Each answer asks its caller to close. */
--- a/src/azurelb/http/message.hpp
+++ b/src/azurelb/http/message.hpp
@@ -15,6 +15,6 @@
  * Answers one request. It is cancelled when the caller goes away; it then ends by
  * boost::system::system_error with operation_aborted and no answer is written.
  */
-using http_handler = std::function<boost::asio::awaitable<http_response>(const http_request &)>;
+using request_handler = std::function<boost::asio::awaitable<http_response>(const http_request &)>;
 
 } // namespace azurelb
--- a/src/azurelb/settings/read_settings.cpp
+++ b/src/azurelb/settings/read_settings.cpp
@@ -1,4 +1,4 @@
-#include <azurelb/http/parse_endpoint.hpp>
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/settings/environment_flags.hpp>
 #include <azurelb/settings/read_settings.hpp>
 
@@ -85,11 +85,8 @@
 
 void checkEndpoint(fault_list &faults, std::string_view setting, const std::string &value)
 {
-    try {
-        (void)parseEndpoint(value);
-    } catch (const boost::system::system_error &) {
+    if (!parseEndpoint(value))
         faults.add(setting, value, "IP:PORT, such as 127.0.0.1:8080");
-    }
 }
 
 void checkRange(fault_list &faults, std::string_view setting, std::uint64_t value,
--- a/src/azurelb/upstream/upstream_connection.cpp
+++ b/src/azurelb/upstream/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include <azurelb/core/clock_source.hpp>
-#include <azurelb/http/parse_endpoint.hpp>
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/http/run_state.hpp>
+#include <azurelb/http/socket_options.hpp>
 #include <azurelb/upstream/exchange_result.hpp>
 #include <azurelb/upstream/upstream_connection.hpp>
 
@@ -9,7 +10,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace azurelb {
 
@@ -22,11 +25,6 @@
 constexpr std::string_view requestIdField{"X-Request-Id"};
 constexpr std::string_view runField{"Azurelb-Run"};
 
-using keepalive_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-using keepalive_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using keepalive_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
 bool isRefusal(const http_response &response)
 {
     const bool refusingStatus = response.result() == http::status::service_unavailable
@@ -46,10 +44,12 @@
 
 asio::awaitable<bool> upstream_connection::connect()
 {
+    const auto endpoint = parseEndpoint(m_address);
+    if (!endpoint)
+        co_return false;
     boost::system::error_code failure;
     m_stream.expires_after(m_options.connectTimeout);
-    co_await m_stream.async_connect(parseEndpoint(m_address),
-                                    asio::redirect_error(asio::use_awaitable, failure));
+    co_await m_stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return false;
     setOptions();
@@ -104,30 +104,16 @@
 
 bool upstream_connection::isReusable()
 {
-    auto &socket = m_stream.socket();
-    if (!m_sound || !socket.is_open())
-        return false;
-    char byte = 0;
-    boost::system::error_code failure;
-    socket.non_blocking(true, failure);
-    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
-    return failure == asio::error::would_block;
+    return m_sound && m_stream.socket().is_open() && isIdleConnectionAlive(m_stream.socket());
 }
 
 void upstream_connection::setOptions()
 {
-    constexpr int idleSeconds = 2;
-    constexpr int intervalSeconds = 1;
-    constexpr int probes = 3;
-    boost::system::error_code ignored;
-    auto &socket = m_stream.socket();
     const auto unacknowledged = static_cast<int>(m_options.unacknowledged.count());
-    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
-    socket.set_option(keepalive_idle{idleSeconds}, ignored);
-    socket.set_option(keepalive_interval{intervalSeconds}, ignored);
-    socket.set_option(keepalive_count{probes}, ignored);
-    socket.set_option(user_timeout{unacknowledged}, ignored);
+    auto &socket = m_stream.socket();
+    setConnectionOptions(socket);
+    (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+                       sizeof unacknowledged);
 }
 
 } // namespace azurelb
--- a/src/azurelb_cli/daemon_client.cpp
+++ b/src/azurelb_cli/daemon_client.cpp
@@ -1,5 +1,5 @@
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/http/message.hpp>
-#include <azurelb/http/parse_endpoint.hpp>
 #include <azurelb_cli/command_error.hpp>
 #include <azurelb_cli/daemon_client.hpp>
 
@@ -31,9 +31,12 @@
 asio::awaitable<void> exchange(const std::string &server, const http_request &request,
                                std::chrono::milliseconds timeout, call_state &state)
 {
+    const auto endpoint = parseEndpoint(server);
+    if (!endpoint)
+        throw boost::system::system_error{asio::error::invalid_argument, server};
     boost::beast::tcp_stream stream{co_await asio::this_coro::executor};
     stream.expires_after(timeout);
-    co_await stream.async_connect(parseEndpoint(server), asio::use_awaitable);
+    co_await stream.async_connect(*endpoint, asio::use_awaitable);
     state.reached = progress::sent;
     co_await http::async_write(stream, request, asio::use_awaitable);
 
