--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -30,6 +30,9 @@
     member_lost = 321,
     member_left = 322,
     peer_silent = 323,
+    dispatcher_changed = 500,
+    circuit_opened = 501,
+    circuit_closed = 502,
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -28,6 +28,9 @@
     {event::member_lost, severity::warning, "member_lost"},
     {event::member_left, severity::info, "member_left"},
     {event::peer_silent, severity::info, "peer_silent"},
+    {event::dispatcher_changed, severity::info, "dispatcher_changed"},
+    {event::circuit_opened, severity::warning, "circuit_opened"},
+    {event::circuit_closed, severity::info, "circuit_closed"},
 };
 
 constexpr bool ascending(const event_entry &left, const event_entry &right) noexcept
