--- /dev/null
+++ b/src/azurelbd/daemon.cpp
@@ -0,0 +1,114 @@
+#include <azurelb/config/replica_options.hpp>
+#include <azurelb/config/replicated_documents.hpp>
+#include <azurelb/http/endpoint.hpp>
+#include <azurelb/limits/ledger_limit_service.hpp>
+#include <azurelb/log/log.hpp>
+#include <azurelb/membership/heartbeat_membership.hpp>
+#include <azurelb/metrics/metrics.hpp>
+#include <azurelb/operations/operator_api.hpp>
+#include <azurelb/peer/nng_transport.hpp>
+#include <azurelb/platform/http_vm_controls.hpp>
+#include <azurelb/platform/polling_vm_list.hpp>
+#include <azurelb/request/caller_api.hpp>
+#include <azurelb/share/dispatched_slot_service.hpp>
+#include <azurelb/share/share_options.hpp>
+#include <azurelb/store/etcd_store.hpp>
+#include <azurelb/upstream/view_upstream_directory.hpp>
+#include <azurelbd/daemon.hpp>
+#include <azurelbd/departure_tracker.hpp>
+#include <azurelbd/peer_directory.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace azurelb {
+
+namespace {
+
+etcd_options storeOptions(const settings &from)
+{
+    etcd_options options;
+    std::transform(from.storeEndpoints.begin(), from.storeEndpoints.end(),
+                   std::back_inserter(options.endpoints),
+                   [](const std::string &each) { return parseEndpoint(each).value(); });
+    return options;
+}
+
+replica_options replicaOptions(const settings &from)
+{
+    replica_options options;
+    options.expectedMembers = static_cast<std::uint32_t>(from.entryVms);
+    options.freshFor = from.freshness;
+    return options;
+}
+
+share_options shareOptions(const settings &from)
+{
+    share_options options;
+    options.slotsPerDaemon = static_cast<std::uint32_t>(from.connections.perUpstream);
+    return options;
+}
+
+} // namespace
+
+daemon::daemon(settings options)
+    : m_settings{std::move(options)}
+    , m_signals{m_loop, SIGTERM, SIGINT}
+    , m_shutdown{m_loop, m_services, m_settings.drainDelay, m_settings.callers.longestTimeout}
+{
+    addPlatformServices();
+    addFleetServices();
+    addRequestServices();
+}
+
+void daemon::run()
+{
+    awaitSignal();
+    m_services.start();
+    logEvent(event::daemon_started,
+             {{"zone", m_settings.zone.value()},
+              {"listen", m_settings.callers.listen},
+              {"operator_listen", m_settings.operatorListen}});
+    m_services.find<caller_api>(caller_api::serviceName).setReady(true);
+    m_loop.run();
+    m_services.stop();
+}
+
+void daemon::addPlatformServices()
+{
+    const auto platform = parseEndpoint(m_settings.platformEndpoint).value();
+    m_services.emplace<metrics>();
+    m_services.emplace<etcd_store>(m_loop, m_clock, storeOptions(m_settings));
+    m_services.emplace<nng_transport>(m_loop, m_settings.vm, m_settings.peerListen);
+    m_services.emplace<polling_vm_list>(m_loop, m_clock, platform);
+    m_services.emplace<http_vm_controls>(m_loop, platform);
+}
+
+void daemon::addFleetServices()
+{
+    m_services.emplace<heartbeat_membership>(m_loop, m_clock);
+    m_services.emplace<peer_directory>(m_settings.peers);
+    m_services.emplace<replicated_documents>(m_loop, m_clock, replicaOptions(m_settings));
+    m_services.emplace<view_upstream_directory>();
+    const auto &departures = m_services.emplace<departure_tracker>(m_loop, m_clock, m_settings.vm);
+    m_services.emplace<ledger_limit_service>(m_loop, m_clock, departures.departures());
+}
+
+void daemon::addRequestServices()
+{
+    m_services.emplace<dispatched_slot_service>(m_loop, m_clock, shareOptions(m_settings));
+    m_services.emplace<caller_api>(m_loop, m_clock, m_settings.callers, m_settings.connections);
+    m_services.emplace<operator_api>(m_loop, m_settings);
+}
+
+void daemon::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &cancelled, int) {
+        if (cancelled)
+            return;
+        m_shutdown.begin([this] { m_loop.stop(); });
+        awaitSignal();
+    });
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelbd/daemon.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <azurelb/core/kernel.hpp>
+#include <azurelb/core/steady_clock_source.hpp>
+#include <azurelb/settings/settings.hpp>
+#include <azurelbd/shutdown_sequence.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+namespace azurelb {
+
+/** One azurelbd process: its services and its life from start to graceful shutdown. */
+class daemon
+{
+public:
+    /** The settings must have passed their checks. */
+    explicit daemon(settings options);
+    daemon(const daemon &) = delete;
+    daemon &operator=(const daemon &) = delete;
+
+    /** Runs until a graceful shutdown, ordered by SIGTERM or SIGINT, is complete. */
+    void run();
+
+private:
+    void addPlatformServices();
+    void addFleetServices();
+    void addRequestServices();
+    void awaitSignal();
+
+    settings m_settings;
+    steady_clock_source m_clock{};
+    boost::asio::io_context m_loop{1};
+    boost::asio::signal_set m_signals;
+    kernel m_services{};
+    shutdown_sequence m_shutdown;
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelbd/departure_tracker.cpp
@@ -0,0 +1,45 @@
+#include <azurelb/core/clock_source.hpp>
+#include <azurelb/core/kernel.hpp>
+#include <azurelb/platform/vm_list_source.hpp>
+#include <azurelb/wire/platform.pb.h>
+#include <azurelbd/departure_tracker.hpp>
+
+namespace azurelb {
+
+namespace {
+
+/** Longest time that the platform's list is behind. */
+constexpr std::chrono::seconds listLag{30};
+constexpr std::chrono::seconds interval{1};
+
+} // namespace
+
+departure_tracker::departure_tracker(boost::asio::io_context &loop, const clock_source &clock,
+                                     const vm_id &self)
+    : m_clock{clock}
+    , m_timer{loop}
+    , m_departures{self, listLag}
+{ }
+
+void departure_tracker::start(kernel &services)
+{
+    m_list = &services.find<vm_list_source>(vm_list_source::serviceName);
+    update();
+}
+
+void departure_tracker::stop() noexcept
+{
+    m_timer.cancel();
+}
+
+void departure_tracker::update()
+{
+    m_departures.update(*m_list->list(), m_clock.now());
+    m_timer.expires_after(interval);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            update();
+    });
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelbd/main.cpp
@@ -0,0 +1,44 @@
+#include <azurelb/log/log.hpp>
+#include <azurelb/settings/read_settings.hpp>
+#include <azurelbd/daemon.hpp>
+
+#include <iostream>
+
+namespace {
+
+using namespace azurelb;
+
+constexpr int exitFailed = 1;
+constexpr int exitWrongSettings = 2;
+
+void print(const std::vector<settings_fault> &faults)
+{
+    for (const settings_fault &each : faults)
+        std::cerr << "azurelbd: " << each.setting << " is '" << each.value
+                  << "'; allowed: " << each.allowed << '\n';
+}
+
+int runDaemon(const settings &options)
+{
+    openLog({options.leastSeverity, options.vm.value()});
+    try {
+        daemon process{options};
+        process.run();
+    } catch (const std::exception &failure) {
+        logEvent(event::daemon_failed, {{"reason", failure.what()}});
+        return exitFailed;
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto read = readSettings(argc, argv);
+    if (const auto *faults = std::get_if<std::vector<settings_fault>>(&read)) {
+        print(*faults);
+        return exitWrongSettings;
+    }
+    return runDaemon(std::get<settings>(read));
+}
--- /dev/null
+++ b/src/azurelbd/peer_directory.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <azurelb/core/service.hpp>
+#include <azurelb/settings/peer_setting.hpp>
+
+#include <vector>
+
+namespace azurelb {
+
+class heartbeat_membership;
+class nng_transport;
+class vm_list_source;
+
+/** Keeps the addresses of the peers: those of the settings and the platform's entry VMs. */
+class peer_directory final : public service
+{
+public:
+    /** Name of the service in the kernel. */
+    static constexpr std::string_view serviceName{"peer_directory"};
+
+    explicit peer_directory(std::vector<peer_setting> fixed);
+
+    [[nodiscard]] std::string_view name() const noexcept override { return serviceName; }
+    void start(kernel &services) override;
+    void stop() noexcept override { }
+
+private:
+    void refresh();
+
+    std::vector<peer_setting> m_fixed;
+    nng_transport *m_transport{nullptr};
+    heartbeat_membership *m_members{nullptr};
+    vm_list_source *m_list{nullptr};
+};
+
+} // namespace azurelb
--- a/test/azurelb/share/dispatching_fuzz_test.cpp
+++ b/test/azurelb/share/dispatching_fuzz_test.cpp
@@ -218,10 +218,9 @@
         CPPUNIT_ASSERT(rc::check("slots and tickets under faults", [](std::uint64_t seed) {
             const auto one = rc::gen::construct<command>(
                 rc::gen::inRange<std::size_t>(0, std::size(checked_fleet::handlers)),
-                rc::gen::inRange<std::uint32_t>(0, 1000),
-                rc::gen::inRange<std::uint32_t>(0, 1000));
-            const auto commands
-                = *rc::gen::resize(mostCommands, rc::gen::container<std::vector<command>>(one));
+                rc::gen::inRange<std::uint32_t>(0, 1000), rc::gen::inRange<std::uint32_t>(0, 1000));
+            const auto commands =
+                *rc::gen::resize(mostCommands, rc::gen::container<std::vector<command>>(one));
             checked_fleet fleet{smallFleet(seed)};
             for (const command &each : commands)
                 fleet.apply(each);
