--- a/src/azurelb/limits/fwd.hpp
+++ b/src/azurelb/limits/fwd.hpp
@@ -1,7 +1,35 @@
 #pragma once
 
+#include <azurelb/core/fwd.hpp>
+
+#include <cstdint>
+#include <map>
+
 namespace azurelb {
 
+/** Number of rights. Net numbers may be negative. */
+using right_count = std::int64_t;
+
+/** Number of rights by team; a team that is missing has none. */
+using team_counts = std::map<team_name, right_count>;
+
 class limit_service;
+class departure_source;
+struct rights_options;
+struct rights_limits;
+struct rights_status;
+struct rights_transfer;
+struct holder_report;
+struct balance_request;
+struct rights_plan;
+struct outgoing_rights;
+class use_peak;
+class rights_account;
+class rights_peers;
+class rights_proof;
+struct rights_peer;
+class rights_balancer;
+class rights_ledger;
+class ledger_limit_service;
 
 } // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_balancer.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <azurelb/limits/holder_report.hpp>
+#include <azurelb/limits/rights_transfer.hpp>
+
+#include <azurelb/wire/limits.pb.h>
+
+#include <map>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * Decides for the teams that this daemon balances which holder shall give rights to which. It
+ * knows only reports and holds no rights: a wrong or doubled balancer may move rights needlessly
+ * but never makes one.
+ */
+class rights_balancer
+{
+public:
+    /** Orders by the holder that shall carry them out. */
+    using orders = std::map<member, wire::rights_order>;
+
+    void hear(const holder_report &report, const team_name &team, time_point now);
+
+    /** Drops the reports of a team that another daemon balances. */
+    void forget(const team_name &team) { m_teams.erase(team); }
+
+    /** Teams with a report. */
+    [[nodiscard]] std::vector<team_name> teams() const;
+
+    /**
+     * The orders due for a team. Empty if the last ones are younger than the interval, whose
+     * effect the reports do not show yet.
+     */
+    [[nodiscard]] orders balance(const team_name &team, right_count excess, const member &collector,
+                                 const std::vector<member> &fresh, duration interval,
+                                 duration reportAge, time_point now);
+
+private:
+    struct heard_report
+    {
+        holder_report report{};
+        time_point at{};
+    };
+
+    struct team_state
+    {
+        std::map<member, heard_report> reports{};
+        time_point orderedAt{};
+        std::size_t rotation{};
+        time_point rotatedAt{};
+    };
+
+    static void rotate(team_state &state, time_point now);
+
+    std::map<team_name, team_state> m_teams{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_ledger.cpp
@@ -0,0 +1,191 @@
+#include <azurelb/limits/rights_ledger.hpp>
+
+#include <azurelb/limits/rights_plan.hpp>
+#include <azurelb/limits/rights_wire.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+rights_ledger::rights_ledger(member self, const rights_options &options,
+                             const departure_source &departures)
+    : m_options{options}
+    , m_account{std::move(self)}
+    , m_peers{m_account, departures}
+{ }
+
+bool rights_ledger::acquire(const team_name &team, time_point now)
+{
+    if (m_leaving || !isUsable(now) || free(team) <= 0 || !m_account.acquire(team))
+        return false;
+    m_demands[team].peak.record(m_account.inUse(team));
+    return true;
+}
+
+void rights_ledger::release(const team_name &team, time_point now)
+{
+    m_account.release(team);
+    const auto found = m_demands.find(team);
+    if (found != m_demands.end() && isUsable(now))
+        payOwed(team, found->second);
+}
+
+void rights_ledger::setDemand(const team_name &team, right_count waiting, time_point now)
+{
+    team_demand &demand = m_demands[team];
+    const bool begins = demand.waiting == 0 && waiting > 0;
+    demand.waiting = waiting;
+    if (begins && now - demand.reportedAt < m_options.resend)
+        demand.reportedAt = now - m_options.resend;
+}
+
+void rights_ledger::setFresh(const std::vector<member> &fresh)
+{
+    m_peers.setFresh(fresh);
+    m_balancers.clear();
+}
+
+void rights_ledger::setLimits(rights_limits limits)
+{
+    if (limits.at >= m_limits.at)
+        m_limits = std::move(limits);
+}
+
+void rights_ledger::setConfirmed(bool confirmed)
+{
+    // While it was cut off, this daemon may have been declared gone.
+    if (confirmed && !m_confirmed)
+        invalidate(m_lastTick);
+    m_confirmed = confirmed;
+}
+
+bool rights_ledger::isCoordinator() const
+{
+    return !isClosed() && m_peers.coordinator() == m_account.self();
+}
+
+void rights_ledger::adopt(const wire::rights_document &document, revision at)
+{
+    if (at <= m_account.at())
+        return;
+    m_document = document;
+    m_minted = internal::mintedOf(document);
+    m_account.adopt(document, at);
+}
+
+void rights_ledger::adoptRead(const wire::rights_document &document, revision at, time_point begun)
+{
+    adopt(document, at);
+    const bool current = at == m_account.at() && at != revision{};
+    if (current && begun >= m_invalidatedAt && m_account.isListed(m_account.self()))
+        m_proof.prove();
+}
+
+std::optional<wire::rights_document> rights_ledger::plan(time_point now)
+{
+    if (!isCoordinator())
+        return std::nullopt;
+    rights_plan plan;
+    plan.self = m_account.self();
+    plan.limits = m_limits;
+    m_peers.fill(plan, now, m_options.hold);
+    closing_nets &own = plan.statements[plan.self];
+    for (const wire::rights_holder &holder : m_document.holders()) {
+        const member closed = internal::fromWire(holder.member());
+        if (holder.closing())
+            own[closed] = m_account.net(closed);
+    }
+    for (const auto &[team, minted] : m_minted) {
+        const right_count burnable = std::min(excess(team), m_account.burnable(team));
+        if (burnable <= 0)
+            continue;
+        plan.burnable[team] = burnable;
+        m_account.reserveBurn(team, burnable);
+    }
+    return nextDocument(m_document, plan);
+}
+
+bool rights_ledger::isUsable(time_point now) const
+{
+    return m_confirmed && m_proof.isValid() && !isClosed()
+        && now - m_lastTick <= m_options.longestGap;
+}
+
+right_count rights_ledger::free(const team_name &team) const
+{
+    const auto found = m_demands.find(team);
+    const right_count owed = found == m_demands.end() ? 0 : found->second.owedCount();
+    const right_count toBurn = isCoordinator() ? excess(team) : 0;
+    const right_count kept = m_account.burnable(team) - toBurn;
+    return std::min(kept, m_account.available(team)) - owed;
+}
+
+rights_status rights_ledger::status(const team_name &team) const
+{
+    rights_status result;
+    result.limit = m_limits.find(team);
+    const auto minted = m_minted.find(team);
+    result.minted = minted == m_minted.end() ? 0 : minted->second;
+    result.held = m_account.holdings(team);
+    result.inUse = m_account.inUse(team);
+    const bool known = m_document.config_revision() >= static_cast<std::int64_t>(m_limits.at);
+    result.inForce = known && result.minted <= result.limit;
+    return result;
+}
+
+void rights_ledger::noteTime(time_point now)
+{
+    if (now - m_lastTick > m_options.longestGap)
+        invalidate(now);
+}
+
+void rights_ledger::invalidate(time_point now)
+{
+    m_proof.invalidate();
+    m_invalidatedAt = now;
+    for (const member &peer : m_peers.active())
+        m_peers.at(peer).helloSent = {};
+}
+
+right_count rights_ledger::excess(const team_name &team) const
+{
+    const auto minted = m_minted.find(team);
+    const bool older = static_cast<std::int64_t>(m_limits.at) < m_document.config_revision();
+    if (minted == m_minted.end() || older)
+        return 0;
+    return std::max<right_count>(0, minted->second - m_limits.find(team));
+}
+
+right_count rights_ledger::give(const member &to, const team_name &team, right_count most)
+{
+    if (!m_peers.isIntroduced(to))
+        return 0;
+    const right_count count = m_account.give(to, team, most);
+    if (count > 0) {
+        m_moved += count;
+        m_peers.at(to).givenSent = {};
+    }
+    return count;
+}
+
+void rights_ledger::payOwed(const team_name &team, team_demand &demand)
+{
+    for (rights_transfer &each : demand.owed)
+        each.count -= give(each.to, team, each.count);
+    std::erase_if(demand.owed, [](const rights_transfer &each) { return each.count <= 0; });
+}
+
+void rights_ledger::handOverAll()
+{
+    const auto other = [this](const member &peer) {
+        return peer != m_account.self() && m_peers.isIntroduced(peer);
+    };
+    const auto &fresh = m_peers.fresh();
+    const auto heir = std::find_if(fresh.begin(), fresh.end(), other);
+    if (heir == fresh.end())
+        return;
+    for (const team_name &team : m_account.teams())
+        give(*heir, team, m_account.available(team));
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_ledger_messages.cpp
@@ -0,0 +1,274 @@
+#include <azurelb/limits/rights_ledger.hpp>
+
+#include <azurelb/core/rendezvous.hpp>
+#include <azurelb/limits/rights_wire.hpp>
+
+#include <cstdlib>
+#include <utility>
+
+namespace azurelb {
+
+namespace {
+
+using internal::fromWire;
+using internal::toWire;
+
+/** Change of load that is worth a report: an eighth, or the first and last of it. */
+bool isLoadChanged(const holder_report &last, const holder_report &now)
+{
+    constexpr right_count divisor{8};
+    if ((last.load == 0) != (now.load == 0))
+        return true;
+    return std::abs(now.load - last.load) > last.load / divisor;
+}
+
+bool isEmpty(const holder_report &report)
+{
+    return report.holdings == 0 && report.load == 0;
+}
+
+} // namespace
+
+void rights_ledger::receive(const member &from, const wire::rights_message &message, time_point now)
+{
+    noteTime(now);
+    if (message.has_document())
+        adopt(message.document(), revision{message.revision()});
+    m_peers.hear(from, message);
+    if (m_account.isFrozen(from)) {
+        m_refused.insert(from);
+        return;
+    }
+    hearReports(from, message, now);
+    if (message.to() == static_cast<std::uint64_t>(m_account.self().id))
+        hearAddressed(from, message, now);
+}
+
+void rights_ledger::hearReports(const member &from, const wire::rights_message &message,
+                                time_point now)
+{
+    for (const wire::rights_report &each : message.reports()) {
+        const holder_report report{from, static_cast<right_count>(each.holdings()),
+                                   static_cast<right_count>(each.load()), each.sequence()};
+        m_balancer.hear(report, team_name{each.team()}, now);
+    }
+}
+
+void rights_ledger::hearAddressed(const member &from, const wire::rights_message &message,
+                                  time_point now)
+{
+    rights_peer &peer = m_peers.at(from);
+    if (message.nonce() != 0)
+        peer.echoDue = message.nonce();
+    const bool current = message.revision() <= static_cast<std::int64_t>(m_account.at());
+    if (message.echo() != 0 && !message.gone() && current) {
+        const bool listed = m_account.isListed(from);
+        const int registered = listed ? m_document.holders_size() : 0;
+        m_proof.hear(from, message.echo(), message.proved(), static_cast<std::size_t>(registered));
+    }
+    for (const wire::team_count &each : message.received())
+        m_account.acknowledge(from, team_name{each.team()}, each.count());
+    for (const wire::team_count &each : message.given()) {
+        const team_name team{each.team()};
+        m_account.receive(from, team, each.count());
+        peer.acknowledgeDue.insert(team);
+    }
+    for (const wire::rights_order &each : message.orders())
+        execute(each, now);
+}
+
+void rights_ledger::execute(const wire::rights_order &order, time_point now)
+{
+    const team_name team{order.team()};
+    team_demand &demand = m_demands[team];
+    if (order.sequence() != demand.sequence || !isUsable(now))
+        return;
+    ++demand.sequence;
+    demand.owed.clear();
+    demand.owedSince = now;
+    for (const wire::rights_part &part : order.parts()) {
+        const auto count = static_cast<right_count>(part.count());
+        demand.owed.push_back({m_account.self(), fromWire(part.to()), count});
+    }
+    payOwed(team, demand);
+}
+
+std::vector<outgoing_rights> rights_ledger::tick(time_point now)
+{
+    noteTime(now);
+    m_lastTick = now;
+    m_peers.update(now);
+    m_introducing = !m_peers.unregistered().empty();
+    advanceDemands(now);
+    outbox out;
+    report(out, now);
+    order(out, now);
+    for (const member &peer : m_peers.active())
+        addressPeer(peer, m_peers.at(peer), out, now);
+    std::vector<outgoing_rights> messages;
+    for (auto &[peer, message] : out) {
+        addHeader(peer, m_peers.at(peer), message, now);
+        messages.push_back({peer, std::move(message)});
+    }
+    for (const member &peer : std::exchange(m_refused, {}))
+        messages.push_back({peer, refusal(peer)});
+    return messages;
+}
+
+wire::rights_message rights_ledger::refusal(const member &peer) const
+{
+    wire::rights_message message;
+    message.set_to(static_cast<std::uint64_t>(peer.id));
+    message.set_revision(static_cast<std::int64_t>(m_account.at()));
+    message.set_gone(true);
+    *message.mutable_document() = m_document;
+    return message;
+}
+
+const member &rights_ledger::balancerOf(const team_name &team)
+{
+    const auto known = m_balancers.find(team);
+    if (known != m_balancers.end())
+        return known->second;
+    std::vector<vm_id> vms;
+    for (const member &peer : m_peers.fresh())
+        vms.push_back(peer.vm);
+    const vm_id &owner = *rendezvousOwner(vms, team.value());
+    const auto owns = [&owner](const member &peer) {
+        return peer.vm == owner;
+    };
+    const auto &fresh = m_peers.fresh();
+    return m_balancers[team] = *std::find_if(fresh.begin(), fresh.end(), owns);
+}
+
+void rights_ledger::advanceDemands(time_point now)
+{
+    for (const team_name &team : m_account.teams())
+        m_demands.try_emplace(team);
+    for (auto &[team, demand] : m_demands) {
+        demand.peak.advance(now, m_options.peakWindow, m_account.inUse(team));
+        if (now - demand.owedSince > m_options.orderAge)
+            demand.owed.clear();
+        if (isUsable(now))
+            payOwed(team, demand);
+    }
+    if (m_leaving && isUsable(now))
+        handOverAll();
+}
+
+void rights_ledger::report(outbox &out, time_point now)
+{
+    for (auto &[team, demand] : m_demands)
+        reportTeam(team, demand, out, now);
+}
+
+void rights_ledger::reportTeam(const team_name &team, team_demand &demand, outbox &out,
+                               time_point now)
+{
+    const member &balancer = balancerOf(team);
+    const holder_report report{m_account.self(), m_account.holdings(team),
+                               m_leaving ? 0 : demand.load(), demand.sequence};
+    const holder_report &last = demand.reported;
+    const bool moved = report.holdings != last.holdings || report.sequence != last.sequence
+        || balancer != demand.reportedTo;
+    const bool pressing = demand.waiting > 0 || isLoadChanged(last, report);
+    const duration age = now - demand.reportedAt;
+    const bool due = moved || (pressing && age >= m_options.resend) || age >= m_options.refresh;
+    if (!due || (isEmpty(report) && isEmpty(last)))
+        return;
+    demand.reported = report;
+    demand.reportedAt = now;
+    demand.reportedTo = balancer;
+    if (balancer == m_account.self()) {
+        m_balancer.hear(report, team, now);
+        return;
+    }
+    wire::rights_report &added = *out[balancer].add_reports();
+    added.set_team(team.value());
+    added.set_holdings(static_cast<std::uint64_t>(report.holdings));
+    added.set_load(static_cast<std::uint64_t>(report.load));
+    added.set_sequence(report.sequence);
+}
+
+void rights_ledger::order(outbox &out, time_point now)
+{
+    for (const team_name &team : m_balancer.teams()) {
+        if (balancerOf(team) != m_account.self()) {
+            m_balancer.forget(team);
+            continue;
+        }
+        const auto orders =
+            m_balancer.balance(team, excess(team), m_peers.coordinator(), m_peers.fresh(),
+                               m_options.resend, m_options.reportAge, now);
+        for (const auto &[holder, each] : orders) {
+            if (holder == m_account.self())
+                execute(each, now);
+            else
+                *out[holder].add_orders() = each;
+        }
+    }
+}
+
+void rights_ledger::addressPeer(const member &peer, rights_peer &state, outbox &out, time_point now)
+{
+    const duration resend = m_peers.isFresh(peer) ? m_options.resend : m_options.refresh;
+    if (now - state.givenSent >= resend) {
+        const team_counts given = m_account.unacknowledged(peer);
+        if (!given.empty()) {
+            toWire(given, *out[peer].mutable_given());
+            state.givenSent = now;
+        }
+    }
+    for (const team_name &team : state.acknowledgeDue) {
+        wire::team_count &added = *out[peer].add_received();
+        added.set_team(team.value());
+        added.set_count(m_account.received(peer, team));
+    }
+    state.acknowledgeDue.clear();
+    if (isHelloDue(peer, state, now))
+        out[peer];
+}
+
+bool rights_ledger::isHelloDue(const member &peer, const rights_peer &state, time_point now) const
+{
+    if (state.echoDue != 0)
+        return true;
+    const member &coordinator = m_peers.coordinator();
+    const bool star = peer == coordinator || m_account.self() == coordinator;
+    const bool wanted = star || !m_proof.isValid() || m_introducing;
+    return wanted && now - state.helloSent >= m_options.refresh;
+}
+
+void rights_ledger::addHeader(const member &peer, rights_peer &state, wire::rights_message &message,
+                              time_point now) const
+{
+    message.set_to(static_cast<std::uint64_t>(peer.id));
+    message.set_revision(static_cast<std::int64_t>(m_account.at()));
+    if (state.at < m_account.at() && now - state.documentSent >= m_options.resend) {
+        *message.mutable_document() = m_document;
+        state.documentSent = now;
+    }
+    for (const member &each : m_peers.unregistered())
+        toWire(each, *message.add_unregistered());
+    message.set_nonce(m_proof.isValid() ? 0 : m_proof.nonce());
+    message.set_echo(state.echoDue);
+    message.set_gone(m_peers.isGone(peer));
+    message.set_proved(isUsable(now));
+    state.echoDue = 0;
+    state.helloSent = now;
+    addStatements(message);
+}
+
+void rights_ledger::addStatements(wire::rights_message &message) const
+{
+    for (const wire::rights_holder &holder : m_document.holders()) {
+        if (!holder.closing())
+            continue;
+        const member closed = fromWire(holder.member());
+        wire::rights_statement &statement = *message.add_statements();
+        toWire(closed, *statement.mutable_closed());
+        toWire(m_account.net(closed), *statement.mutable_net());
+    }
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_options.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/limits/fwd.hpp>
+
+namespace azurelb {
+
+/** Times of the rights protocol. */
+struct rights_options
+{
+    /** Upper bound on the run time of a request: a lost daemon's work has ended after it. */
+    duration hold{std::chrono::seconds{60}};
+    /** Between two ticks of the ledger. */
+    duration tick{std::chrono::milliseconds{25}};
+    /** Between two messages to one peer about something unacknowledged or changing. */
+    duration resend{std::chrono::milliseconds{100}};
+    /** Between two messages to one peer when nothing changes. */
+    duration refresh{std::chrono::seconds{1}};
+    /** A ledger that was not ticked for so long proves itself to a peer before it goes on. */
+    duration longestGap{std::chrono::seconds{2}};
+    /** A report older than this is not balanced. */
+    duration reportAge{std::chrono::seconds{4}};
+    /** An order that its sender does not renew lapses. */
+    duration orderAge{std::chrono::milliseconds{500}};
+    /** Half of the time for which the peak of use is remembered. */
+    duration peakWindow{std::chrono::milliseconds{250}};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_peer.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <azurelb/limits/rights_plan.hpp>
+
+#include <optional>
+#include <set>
+
+namespace azurelb {
+
+/** What one daemon knows of another, and what it last sent there. */
+struct rights_peer
+{
+    /** Newest revision of the rights document that the peer said it knows. */
+    revision at{};
+    /** Daemons that the peer knows and its document does not list. */
+    std::set<member> unregistered{};
+    closing_nets statements{};
+    std::optional<time_point> goneSince{};
+    /** Nonce to return with the next message; 0 if none. */
+    std::uint64_t echoDue{};
+    /** Teams whose received number is to be acknowledged. */
+    std::set<team_name> acknowledgeDue{};
+    time_point helloSent{};
+    time_point documentSent{};
+    time_point givenSent{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_peers.cpp
@@ -0,0 +1,145 @@
+#include <azurelb/limits/rights_peers.hpp>
+
+#include <azurelb/limits/departure_source.hpp>
+#include <azurelb/limits/rights_account.hpp>
+#include <azurelb/limits/rights_wire.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+rights_peers::rights_peers(const rights_account &account, const departure_source &departures)
+    : m_account{account}
+    , m_departures{departures}
+    , m_fresh{account.self()}
+{ }
+
+void rights_peers::setFresh(const std::vector<member> &fresh)
+{
+    m_heartbeats = fresh;
+    for (const member &peer : fresh)
+        learn(peer);
+    selectFresh();
+}
+
+void rights_peers::hear(const member &from, const wire::rights_message &message)
+{
+    learn(from);
+    const auto found = m_peers.find(from);
+    if (found == m_peers.end())
+        return;
+    rights_peer &peer = found->second;
+    const revision at{message.revision()};
+    if (at < peer.at)
+        return;
+    peer.at = at;
+    for (const wire::rights_statement &statement : message.statements()) {
+        const member closed = internal::fromWire(statement.closed());
+        peer.statements[closed] = internal::fromWire(statement.net());
+    }
+    peer.unregistered.clear();
+    for (const wire::rights_member &each : message.unregistered())
+        peer.unregistered.insert(internal::fromWire(each));
+    // With another document the sender's list may name daemons reclaimed since.
+    if (at != m_account.at())
+        return;
+    for (const member &each : std::set<member>{peer.unregistered})
+        learn(each);
+}
+
+void rights_peers::update(time_point now)
+{
+    std::erase_if(m_peers, [this](const value_type &entry) {
+        return m_account.isFrozen(entry.first) && !m_account.isListed(entry.first);
+    });
+    for (auto &[peer, state] : m_peers) {
+        if (!state.goneSince && m_departures.isGone(peer))
+            state.goneSince = now;
+    }
+    selectFresh();
+}
+
+std::vector<member> rights_peers::active() const
+{
+    std::vector<member> result;
+    for (const auto &[peer, state] : m_peers) {
+        if (!state.goneSince && !m_account.isFrozen(peer))
+            result.push_back(peer);
+    }
+    return result;
+}
+
+bool rights_peers::isFresh(const member &peer) const
+{
+    return std::binary_search(m_fresh.begin(), m_fresh.end(), peer);
+}
+
+std::vector<member> rights_peers::unregistered() const
+{
+    std::vector<member> result;
+    if (!m_account.isListed(m_account.self()) && !m_account.isClosed())
+        result.push_back(m_account.self());
+    for (const auto &[peer, state] : m_peers) {
+        if (!m_account.isListed(peer) && !m_account.isFrozen(peer))
+            result.push_back(peer);
+    }
+    return result;
+}
+
+bool rights_peers::isIntroduced(const member &peer) const
+{
+    if (m_account.isFrozen(peer) || isGone(peer))
+        return false;
+    if (m_account.isListed(peer))
+        return true;
+    if (m_account.at() == revision{})
+        return false;
+    const std::vector<member> others = active();
+    return std::all_of(others.begin(), others.end(), [&](const member &other) {
+        const rights_peer &state = m_peers.at(other);
+        const bool knows = other == peer || state.unregistered.contains(peer);
+        return knows && state.at == m_account.at();
+    });
+}
+
+bool rights_peers::isGone(const member &peer) const
+{
+    const auto found = m_peers.find(peer);
+    return found != m_peers.end() && found->second.goneSince.has_value();
+}
+
+void rights_peers::fill(rights_plan &plan, time_point now, duration hold) const
+{
+    plan.unregistered = unregistered();
+    for (const auto &[peer, state] : m_peers) {
+        if (state.goneSince) {
+            plan.gone.insert(peer);
+            if (now - *state.goneSince >= hold)
+                plan.ended.insert(peer);
+        } else if (state.at == m_account.at()) {
+            plan.statements[peer] = state.statements;
+        }
+    }
+}
+
+void rights_peers::learn(const member &peer)
+{
+    if (peer == m_account.self())
+        return;
+    const bool reclaimed = m_account.isFrozen(peer) && !m_account.isListed(peer);
+    if (!reclaimed)
+        m_peers.try_emplace(peer);
+}
+
+void rights_peers::selectFresh()
+{
+    m_fresh.clear();
+    for (const member &peer : m_heartbeats) {
+        if (peer != m_account.self() && !isGone(peer) && !m_account.isFrozen(peer))
+            m_fresh.push_back(peer);
+    }
+    m_fresh.push_back(m_account.self());
+    std::sort(m_fresh.begin(), m_fresh.end());
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_plan.cpp
@@ -0,0 +1,190 @@
+#include <azurelb/limits/rights_plan.hpp>
+
+#include <azurelb/limits/rights_wire.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace {
+
+using internal::fromWire;
+using internal::toWire;
+
+/** Changes a copy of the document and notes whether anything changed. */
+class document_editor
+{
+public:
+    document_editor(const wire::rights_document &current, const rights_plan &plan)
+        : m_plan{plan}
+        , m_next{current}
+    { }
+
+    [[nodiscard]] bool isChanged() const noexcept { return m_changed; }
+
+    [[nodiscard]] wire::rights_document take() { return std::move(m_next); }
+
+    void registerDaemons()
+    {
+        for (const member &daemon : m_plan.unregistered) {
+            if (internal::findHolder(m_next, daemon))
+                continue;
+            wire::rights_holder &added = *m_next.add_holders();
+            toWire(daemon, *added.mutable_member());
+            m_next.set_last_number(m_next.last_number() + 1);
+            added.set_number(m_next.last_number());
+            m_changed = true;
+        }
+    }
+
+    void markClosing()
+    {
+        for (wire::rights_holder &holder : *m_next.mutable_holders()) {
+            const bool gone = m_plan.gone.contains(fromWire(holder.member()));
+            if (!gone || holder.closing())
+                continue;
+            holder.set_closing(true);
+            m_changed = true;
+        }
+    }
+
+    /** Mints missing rights and burns surplus ones, unless a newer configuration was in use. */
+    void followLimits()
+    {
+        const auto at = static_cast<std::int64_t>(m_plan.limits.at);
+        wire::rights_holder *own = findOwn();
+        if (!own || at < m_next.config_revision())
+            return;
+        if (at > m_next.config_revision()) {
+            m_next.set_config_revision(at);
+            m_changed = true;
+        }
+        team_counts minted = fromWire(own->minted());
+        for (const auto &[team, change] : changes()) {
+            minted[team] += change;
+            m_changed = true;
+        }
+        toWire(minted, *own->mutable_minted());
+    }
+
+    void reclaim()
+    {
+        if (!isReclaimDue())
+            return;
+        wire::rights_document folded = m_next;
+        folded.clear_holders();
+        team_counts balance;
+        for (const wire::rights_holder &holder : m_next.holders()) {
+            if (holder.closing())
+                add(balance, fromWire(holder.minted()));
+            else
+                *folded.add_holders() = withoutNets(holder, balance);
+        }
+        m_next = std::move(folded);
+        wire::rights_holder *own = findOwn();
+        add(balance, fromWire(own->minted()));
+        toWire(balance, *own->mutable_minted());
+        m_changed = true;
+    }
+
+private:
+    static void add(team_counts &sum, const team_counts &added)
+    {
+        for (const auto &[team, count] : added)
+            sum[team] += count;
+    }
+
+    [[nodiscard]] wire::rights_holder *findOwn()
+    {
+        for (wire::rights_holder &holder : *m_next.mutable_holders()) {
+            if (!holder.closing() && fromWire(holder.member()) == m_plan.self)
+                return &holder;
+        }
+        return nullptr;
+    }
+
+    /** Rights to mint (positive) or to burn (negative) by team. */
+    [[nodiscard]] team_counts changes() const
+    {
+        team_counts sums = internal::mintedOf(m_next);
+        for (const auto &[team, limit] : m_plan.limits.limits)
+            sums.try_emplace(team, 0);
+        team_counts result;
+        for (const auto &[team, sum] : sums) {
+            const auto found = m_plan.burnable.find(team);
+            const right_count burnable = found == m_plan.burnable.end() ? 0 : found->second;
+            const right_count change = std::max(m_plan.limits.find(team) - sum, -burnable);
+            if (change != 0)
+                result.emplace(team, change);
+        }
+        return result;
+    }
+
+    [[nodiscard]] bool isReclaimDue()
+    {
+        std::vector<member> closing;
+        for (const wire::rights_holder &holder : m_next.holders()) {
+            if (holder.closing())
+                closing.push_back(fromWire(holder.member()));
+        }
+        const auto ended = [this](const member &each) {
+            return m_plan.ended.contains(each);
+        };
+        const auto settled = [&](const wire::rights_holder &holder) {
+            return holder.closing() || hasStated(fromWire(holder.member()), closing);
+        };
+        const auto &holders = m_next.holders();
+        return findOwn() && !closing.empty() && std::all_of(closing.begin(), closing.end(), ended)
+            && std::all_of(holders.begin(), holders.end(), settled);
+    }
+
+    [[nodiscard]] bool hasStated(const member &holder, const std::vector<member> &closing) const
+    {
+        const auto found = m_plan.statements.find(holder);
+        if (found == m_plan.statements.end())
+            return false;
+        const closing_nets &nets = found->second;
+        return std::all_of(closing.begin(), closing.end(),
+                           [&nets](const member &each) { return nets.contains(each); });
+    }
+
+    /** The holder's row without its exchanges with closing holders, which go to the balance. */
+    [[nodiscard]] wire::rights_holder withoutNets(const wire::rights_holder &holder,
+                                                  team_counts &balance) const
+    {
+        team_counts minted = fromWire(holder.minted());
+        for (const auto &[closed, nets] : m_plan.statements.at(fromWire(holder.member()))) {
+            if (!internal::findHolder(m_next, closed))
+                continue;
+            for (const auto &[team, count] : nets) {
+                minted[team] -= count;
+                balance[team] += count;
+            }
+        }
+        wire::rights_holder result = holder;
+        toWire(minted, *result.mutable_minted());
+        return result;
+    }
+
+    const rights_plan &m_plan;
+    wire::rights_document m_next;
+    bool m_changed{false};
+};
+
+} // namespace
+
+std::optional<wire::rights_document> nextDocument(const wire::rights_document &current,
+                                                  const rights_plan &plan)
+{
+    document_editor editor{current, plan};
+    editor.registerDaemons();
+    editor.markClosing();
+    editor.followLimits();
+    if (!editor.isChanged())
+        editor.reclaim();
+    if (!editor.isChanged())
+        return std::nullopt;
+    return editor.take();
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/rights_transfer.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <azurelb/limits/fwd.hpp>
+#include <azurelb/membership/member.hpp>
+
+namespace azurelb {
+
+/** Rights that one holder shall give another. */
+struct rights_transfer
+{
+    member from{};
+    member to{};
+    right_count count{};
+
+    [[nodiscard]] friend bool operator==(const rights_transfer &,
+                                         const rights_transfer &) = default;
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/limits/use_peak.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/limits/fwd.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+/** Highest use of a team's rights over the last one to two windows. */
+class use_peak
+{
+public:
+    void record(right_count inUse) noexcept { m_current = std::max(m_current, inUse); }
+
+    /** Moves the windows on; the current use begins the new one. */
+    void advance(time_point now, duration window, right_count inUse) noexcept
+    {
+        if (now - m_since < window)
+            return;
+        const bool skipped = now - m_since >= 2 * window;
+        m_previous = skipped ? inUse : m_current;
+        m_current = inUse;
+        m_since = now;
+    }
+
+    [[nodiscard]] right_count value() const noexcept { return std::max(m_previous, m_current); }
+
+private:
+    right_count m_previous{};
+    right_count m_current{};
+    time_point m_since{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/test/azurelb/limits/rights_fleet.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <azurelb/limits/departure_source.hpp>
+#include <azurelb/limits/rights_ledger.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurelb::test {
+
+using namespace std::chrono_literals;
+
+/** The platform's list as the ledgers see it. */
+class fake_departures final : public departure_source
+{
+public:
+    [[nodiscard]] bool isGone(const member &daemon) const override { return gone.contains(daemon); }
+
+    std::set<member> gone{};
+};
+
+/** How messages fare. */
+struct network_faults
+{
+    double loss{0};
+    double repeat{0};
+    duration delay{1500us};
+    duration jitter{0ms};
+};
+
+/** One daemon of the fleet under test. */
+struct fake_daemon
+{
+    member id{};
+    std::unique_ptr<rights_ledger> ledger{};
+    bool killed{false};
+    bool paused{false};
+    bool cut{false};
+    bool storeCut{false};
+    /** When the platform was seen to remove it; its work ends within the hold time. */
+    time_point lostAt{time_point::max()};
+    std::vector<std::function<void()>> backlog{};
+    std::map<team_name, right_count> running{};
+    std::map<team_name, right_count> waiting{};
+    std::uint64_t bytesSent{};
+    time_point cycleAt{};
+
+    [[nodiscard]] bool isUp() const { return !killed && !paused; }
+};
+
+/** A fleet of ledgers with store, network and platform under one virtual clock. */
+class rights_fleet
+{
+public:
+    explicit rights_fleet(std::size_t size, rights_options options = {}, unsigned seed = 1);
+
+    /** Starts a daemon under the name; the name may be in use already. */
+    fake_daemon &start(const std::string &vm);
+    void kill(fake_daemon &daemon);
+    void resume(fake_daemon &daemon);
+    /** The platform removes the VM. */
+    void depart(fake_daemon &daemon);
+    void setLimit(const team_name &team, right_count limit);
+    bool acquire(fake_daemon &daemon, const team_name &team);
+    void release(fake_daemon &daemon, const team_name &team);
+    void setDemand(fake_daemon &daemon, const team_name &team, right_count waiting);
+    void advance(duration time);
+
+    /** Requests that may be running over the fleet, lost daemons' included. */
+    [[nodiscard]] right_count running(const team_name &team) const;
+    /** Rights that the running daemons hold. */
+    [[nodiscard]] right_count held(const team_name &team) const;
+    /** The largest limit that is still in force. */
+    [[nodiscard]] right_count bound(const team_name &team) const { return m_bounds.at(team); }
+    /** Throws std::logic_error if a bound is exceeded. */
+    void verify() const;
+
+    rights_options options;
+    network_faults network{};
+    fake_departures departures{};
+    std::vector<std::unique_ptr<fake_daemon>> daemons{};
+    wire::rights_document document{};
+    revision at{};
+    bool storeDown{false};
+    bool answersLost{false};
+    duration storeDelay{2ms};
+    std::uint64_t storeCalls{};
+    time_point now{time_point{} + 1000s};
+
+private:
+    using event_queue = std::multimap<time_point, std::function<void()>>;
+
+    void after(duration delay, std::function<void()> event);
+    void deliver(fake_daemon &to, std::function<void()> event);
+    void step();
+    void tick(fake_daemon &daemon);
+    void updateViews(fake_daemon &daemon);
+    void send(fake_daemon &from, const outgoing_rights &message);
+    void read(fake_daemon &by);
+    void commit(fake_daemon &by, const wire::rights_document &next, revision expected);
+    void settleBounds();
+    [[nodiscard]] bool reach(const fake_daemon &a, const fake_daemon &b) const;
+    [[nodiscard]] bool storeAnswers(const fake_daemon &by) const;
+
+    std::mt19937_64 m_random;
+    event_queue m_events{};
+    rights_limits m_limits{};
+    team_counts m_bounds{};
+    std::uint64_t m_lastIncarnation{100};
+};
+
+} // namespace azurelb::test
