--- /dev/null
+++ b/test/standin/http_types.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string>
+
+namespace azurelb::standin {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+using asio::awaitable;
+using asio::ip::tcp;
+using request = http::request<http::string_body>;
+using response = http::response<http::string_body>;
+
+/** A JSON answer of that status. */
+[[nodiscard]] inline response makeResponse(http::status status, std::string body)
+{
+    constexpr unsigned httpVersion = 11;
+    response made{status, httpVersion};
+    made.set(http::field::content_type, "application/json");
+    made.body() = std::move(body);
+    return made;
+}
+
+/** Address and port as text, as in "127.0.0.1:80". */
+[[nodiscard]] inline std::string toString(const tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
+} // namespace azurelb::standin
--- /dev/null
+++ b/test/standin/kv_state.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <azurelb/wire/etcd.pb.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace azurelb::standin {
+
+/** Why the store refuses a call, in etcd's words. */
+struct kv_refusal
+{
+    int code{};
+    std::string_view message;
+};
+
+inline constexpr kv_refusal duplicateKey{3, "etcdserver: duplicate key given in txn request"};
+inline constexpr kv_refusal tooManyOperations{3, "etcdserver: too many operations in txn request"};
+inline constexpr kv_refusal leaseNotFound{5, "etcdserver: requested lease not found"};
+inline constexpr kv_refusal leaseExists{9, "etcdserver: lease already exists"};
+
+/** The keys, revisions and leases of the store; knows nothing of its transport. */
+class kv_state
+{
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    /** Ends the leases that have run out, and deletes their keys. */
+    void expire(time_point now);
+
+    [[nodiscard]] wire::etcd::range_response range(const wire::etcd::range_request &asked) const;
+
+    /**
+     * Commits the transaction under one new revision, or refuses all of it. The response is valid
+     * if there is no refusal.
+     */
+    [[nodiscard]] std::optional<kv_refusal> commit(const wire::etcd::txn_request &asked,
+                                                   wire::etcd::txn_response &response);
+
+    [[nodiscard]] std::optional<kv_refusal> grant(const wire::etcd::lease_grant_request &asked,
+                                                  time_point now,
+                                                  wire::etcd::lease_grant_response &response);
+
+    [[nodiscard]] std::optional<kv_refusal> revoke(std::int64_t id);
+
+    /** The time to live is 0 if there is no such lease. */
+    [[nodiscard]] wire::etcd::lease_keep_alive_response keepAlive(std::int64_t id, time_point now);
+
+    [[nodiscard]] wire::etcd::response_header header() const;
+
+private:
+    struct lease
+    {
+        std::chrono::seconds ttl{};
+        time_point end;
+    };
+
+    using key_map = std::map<std::string, wire::etcd::key_value, std::less<>>;
+
+    struct key_range
+    {
+        key_map::const_iterator begin;
+        key_map::const_iterator end;
+    };
+
+    [[nodiscard]] key_range findRange(const std::string &key, const std::string &rangeEnd) const;
+    [[nodiscard]] bool holds(const wire::etcd::compare &condition) const;
+    [[nodiscard]] std::optional<kv_refusal>
+    check(const google::protobuf::RepeatedPtrField<wire::etcd::request_op> &operations) const;
+    void apply(const wire::etcd::request_op &operation, wire::etcd::response_op &response);
+    void put(const wire::etcd::put_request &asked);
+    std::int64_t remove(const std::string &key, const std::string &rangeEnd);
+    void removeKeysOf(std::int64_t leaseId);
+
+    key_map m_keys;
+    std::map<std::int64_t, lease> m_leases;
+    std::int64_t m_revision{1};
+    std::int64_t m_nextLease{1};
+};
+
+} // namespace azurelb::standin
--- /dev/null
+++ b/test/standin/mode.cpp
@@ -0,0 +1,29 @@
+#include "mode.hpp"
+#include "json.hpp"
+
+namespace azurelb::standin {
+
+response mode::control(std::string_view path, const request &asked)
+{
+    if (path == "fault" && asked.method() == http::verb::post)
+        return setFault(asked);
+    if (path == "fault")
+        return makeResponse(http::status::ok, toJson(m_fault));
+    if (path == "status")
+        return makeResponse(http::status::ok, toJson(m_status));
+    return makeResponse(http::status::not_found, R"({"error":"no such path"})");
+}
+
+response mode::setFault(const request &asked)
+{
+    wire::standin::fault wanted;
+    if (!fromJson(asked.body(), wanted))
+        return makeResponse(http::status::bad_request, R"({"error":"no fault message"})");
+    m_fault = wanted;
+    faultChanged();
+    if (m_changed)
+        m_changed();
+    return makeResponse(http::status::ok, toJson(wanted));
+}
+
+} // namespace azurelb::standin
