--- a/test/standin/control_mode.cpp
+++ b/test/standin/control_mode.cpp
@@ -4,9 +4,9 @@
 
 namespace azurelb::standin {
 
-awaitable<response> control_mode::answer(const request &)
+void control_mode::answer(const request &, answer_handler done)
 {
-    co_return makeResponse(http::status::not_found, "{}");
+    done(makeResponse(http::status::not_found, "{}"));
 }
 
 response control_mode::control(std::string_view path, const request &asked)
--- a/test/standin/control_mode.hpp
+++ b/test/standin/control_mode.hpp
@@ -17,7 +17,7 @@
         : m_controlled{std::move(controlled)}
     { }
 
-    [[nodiscard]] awaitable<response> answer(const request &asked) override;
+    void answer(const request &asked, answer_handler done) override;
 
     [[nodiscard]] response control(std::string_view path, const request &asked) override;
 
--- a/test/standin/executor_mode.cpp
+++ b/test/standin/executor_mode.cpp
@@ -1,12 +1,11 @@
 #include "executor_mode.hpp"
 #include "json.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 
 namespace azurelb::standin {
 
@@ -16,38 +15,38 @@
 
 } // namespace
 
-awaitable<response> executor_mode::answer(const request &asked)
+void executor_mode::answer(const request &asked, answer_handler done)
 {
-    if (asked.target() == "/healthz")
-        co_return makeResponse(http::status::ok, R"({"status":"ok"})");
+    if (asked.target() == "/healthz") {
+        done(makeResponse(http::status::ok, R"({"status":"ok"})"));
+        return;
+    }
     if (status().running() >= m_options.slots) {
         status().set_refused(status().refused() + 1);
         response refused = makeResponse(http::status::service_unavailable, "{}");
         refused.set("Azurelb-Run", "not-run");
-        co_return refused;
+        done(std::move(refused));
+        return;
     }
     status().set_running(status().running() + 1);
     status().set_most_running(std::max(status().most_running(), status().running()));
-    response done = co_await run(asked);
-    status().set_running(status().running() - 1);
-    co_return done;
+    const std::uint32_t runs = ++(*m_runs.mutable_runs())[std::string{asked[requestIdField]}];
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, runTime(asked));
+    timer->async_wait([this, timer, &asked, runs, done](boost::system::error_code error) {
+        if (!error)
+            finish(asked, runs, done);
+    });
 }
 
-awaitable<response> executor_mode::run(const request &asked)
+void executor_mode::finish(const request &asked, std::uint32_t runs, const answer_handler &done)
 {
-    const std::string id{asked[requestIdField]};
-    const std::uint32_t runs = ++(*m_runs.mutable_runs())[id];
-    const std::chrono::milliseconds time = runTime(asked);
-    if (time.count() > 0) {
-        asio::steady_timer timer{m_loop, time};
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-    response done = makeResponse(http::status::ok, asked.body());
+    status().set_running(status().running() - 1);
+    response answer = makeResponse(http::status::ok, asked.body());
     if (const auto type = asked.find(http::field::content_type); type != asked.end())
-        done.set(http::field::content_type, type->value());
-    done.set(requestIdField, id);
-    done.set("X-Runs", std::to_string(runs));
-    co_return done;
+        answer.set(http::field::content_type, type->value());
+    answer.set(requestIdField, asked[requestIdField]);
+    answer.set("X-Runs", std::to_string(runs));
+    done(std::move(answer));
 }
 
 response executor_mode::control(std::string_view path, const request &asked)
--- a/test/standin/executor_mode.hpp
+++ b/test/standin/executor_mode.hpp
@@ -24,14 +24,14 @@
         , m_options{options}
     { }
 
-    [[nodiscard]] awaitable<response> answer(const request &asked) override;
+    void answer(const request &asked, answer_handler done) override;
 
     /** GET runs shows how often each request id ran. */
     [[nodiscard]] response control(std::string_view path, const request &asked) override;
 
 private:
     [[nodiscard]] std::chrono::milliseconds runTime(const request &asked) const;
-    awaitable<response> run(const request &asked);
+    void finish(const request &asked, std::uint32_t runs, const answer_handler &done);
 
     asio::io_context &m_loop;
     executor_options m_options;
--- a/test/standin/forwarder.cpp
+++ b/test/standin/forwarder.cpp
@@ -8,8 +8,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
+#include <algorithm>
 #include <chrono>
+#include <vector>
 
 namespace azurelb::standin {
 
@@ -29,9 +30,9 @@
                  }}
 { }
 
-awaitable<response> forwarder::answer(const request &)
+void forwarder::answer(const request &, answer_handler done)
 {
-    co_return makeResponse(http::status::not_found, "{}");
+    done(makeResponse(http::status::not_found, "{}"));
 }
 
 void forwarder::faultChanged()
@@ -58,7 +59,7 @@
     asio::co_spawn(m_loop, forward(std::move(added)), asio::detached);
 }
 
-awaitable<void> forwarder::forward(link_ptr connection)
+asio::awaitable<void> forwarder::forward(link_ptr connection)
 {
     co_await holdWhileCut(*connection);
     const auto [error] = co_await connection->far.async_connect(m_target, tupled);
@@ -76,7 +77,7 @@
     status().set_connections(static_cast<std::uint32_t>(m_links.size()));
 }
 
-awaitable<void> forwarder::pump(link_ptr connection, tcp::socket &from, tcp::socket &to)
+asio::awaitable<void> forwarder::pump(link_ptr connection, tcp::socket &from, tcp::socket &to)
 {
     std::vector<char> buffer(bufferBytes);
     while (true) {
@@ -92,7 +93,7 @@
     close(*connection);
 }
 
-awaitable<void> forwarder::holdWhileCut(const link &connection)
+asio::awaitable<void> forwarder::holdWhileCut(const link &connection)
 {
     asio::steady_timer timer{m_loop};
     while (connection.silent || fault().cut() == wire::standin::CUT_ALL) {
--- a/test/standin/forwarder.hpp
+++ b/test/standin/forwarder.hpp
@@ -3,6 +3,8 @@
 #include "listener.hpp"
 #include "mode.hpp"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <memory>
 #include <set>
 
@@ -17,7 +19,7 @@
     [[nodiscard]] const tcp::endpoint &address() const noexcept { return m_listener.address(); }
 
     /** The control address runs no requests. */
-    [[nodiscard]] awaitable<response> answer(const request &asked) override;
+    void answer(const request &asked, answer_handler done) override;
 
 private:
     /** One connection and its counterpart towards the target. */
@@ -32,9 +34,9 @@
 
     void faultChanged() override;
     void accepted(tcp::socket socket);
-    awaitable<void> forward(link_ptr connection);
-    awaitable<void> pump(link_ptr connection, tcp::socket &from, tcp::socket &to);
-    awaitable<void> holdWhileCut(const link &connection);
+    asio::awaitable<void> forward(link_ptr connection);
+    asio::awaitable<void> pump(link_ptr connection, tcp::socket &from, tcp::socket &to);
+    asio::awaitable<void> holdWhileCut(const link &connection);
     void close(link &connection);
 
     asio::io_context &m_loop;
--- a/test/standin/http_server.hpp
+++ b/test/standin/http_server.hpp
@@ -3,14 +3,13 @@
 #include "listener.hpp"
 #include "mode.hpp"
 
-#include <boost/beast/core/tcp_stream.hpp>
-
-#include <chrono>
 #include <memory>
 #include <set>
 
 namespace azurelb::standin {
 
+class session;
+
 /** Serves one mode over HTTP on one address, with the faults that are set in it. */
 class http_server
 {
@@ -21,20 +20,14 @@
     [[nodiscard]] const tcp::endpoint &address() const noexcept { return m_listener.address(); }
 
 private:
-    using stream = boost::beast::tcp_stream;
-    using stream_ptr = std::shared_ptr<stream>;
+    using session_ptr = std::shared_ptr<session>;
 
     void accepted(tcp::socket socket);
-    awaitable<void> serve(stream_ptr connection);
-    awaitable<bool> serveOne(stream &connection, const request &asked);
-    awaitable<bool> deliver(stream &connection, const request &asked, response answer);
-    awaitable<void> swallow(stream &connection);
+    void closed(const session_ptr &connection);
     void applyFault();
 
-    asio::io_context &m_loop;
     mode &m_mode;
-    std::set<stream_ptr> m_connections;
-    response m_previous;
+    std::set<session_ptr> m_sessions;
     listener m_listener;
 };
 
--- a/test/standin/http_types.hpp
+++ b/test/standin/http_types.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -12,7 +11,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-using asio::awaitable;
 using asio::ip::tcp;
 using request = http::request<http::string_body>;
 using response = http::response<http::string_body>;
--- a/test/standin/mode.hpp
+++ b/test/standin/mode.hpp
@@ -13,14 +13,15 @@
 {
 public:
     using observer = std::function<void()>;
+    using answer_handler = std::function<void(response)>;
 
     mode() = default;
     mode(const mode &) = delete;
     mode &operator=(const mode &) = delete;
     virtual ~mode() = default;
 
-    /** Runs one request and answers it. */
-    [[nodiscard]] virtual awaitable<response> answer(const request &asked) = 0;
+    /** Runs one request, which stays valid until the answer is given, and answers it. */
+    virtual void answer(const request &asked, answer_handler done) = 0;
 
     /** Answers a request for that path under /_standin/; no fault touches it. */
     [[nodiscard]] virtual response control(std::string_view path, const request &asked);
@@ -31,6 +32,9 @@
     [[nodiscard]] wire::standin::fault &fault() noexcept { return m_fault; }
     [[nodiscard]] wire::standin::status &status() noexcept { return m_status; }
 
+    /** The latest answer to another request, for answers that are crossed. */
+    [[nodiscard]] response &previous() noexcept { return m_previous; }
+
 private:
     [[nodiscard]] response setFault(const request &asked);
 
@@ -40,6 +44,7 @@
     wire::standin::fault m_fault;
     wire::standin::status m_status;
     observer m_changed;
+    response m_previous;
 };
 
 /** Prefix of the paths that control a stand-in. */
--- a/test/standin/platform_mode.cpp
+++ b/test/standin/platform_mode.cpp
@@ -23,14 +23,15 @@
     m_versions.back().since = {};
 }
 
-awaitable<response> platform_mode::answer(const request &asked)
+void platform_mode::answer(const request &asked, answer_handler done)
 {
     const std::string_view target{asked.target().data(), asked.target().size()};
     if (target == listPath && asked.method() == http::verb::get)
-        co_return list(asked);
-    if (target.starts_with(listPath) && asked.method() == http::verb::post)
-        co_return act(target.substr(listPath.size()));
-    co_return makeResponse(http::status::not_found, "{}");
+        done(list(asked));
+    else if (target.starts_with(listPath) && asked.method() == http::verb::post)
+        done(act(target.substr(listPath.size())));
+    else
+        done(makeResponse(http::status::not_found, "{}"));
 }
 
 response platform_mode::control(std::string_view path, const request &asked)
--- a/test/standin/platform_mode.hpp
+++ b/test/standin/platform_mode.hpp
@@ -24,7 +24,7 @@
 public:
     platform_mode(asio::io_context &loop, platform_options options, wire::vm_list vms);
 
-    [[nodiscard]] awaitable<response> answer(const request &asked) override;
+    void answer(const request &asked, answer_handler done) override;
 
     /** POST vms sets the list; GET vms shows the present one, without any lag. */
     [[nodiscard]] response control(std::string_view path, const request &asked) override;
--- a/test/standin/store_mode.cpp
+++ b/test/standin/store_mode.cpp
@@ -56,17 +56,18 @@
      {"/v3/lease/revoke", &store_mode::revoke},
      {"/v3/lease/keepalive", &store_mode::keepAlive}}};
 
-awaitable<response> store_mode::answer(const request &asked)
+void store_mode::answer(const request &asked, answer_handler done)
 {
     m_state.expire(std::chrono::steady_clock::now());
     const auto found = std::find_if(routes.begin(), routes.end(), [&asked](const route &each) {
         return asked.target() == each.path;
     });
     if (found == routes.end())
-        co_return makeResponse(http::status::not_found, R"({"error":"Not Found","code":5})");
-    if (asked.body().size() > maxRequestBytes)
-        co_return refuse({invalidArgument, "etcdserver: request is too large"});
-    co_return (this->*found->run)(asked);
+        done(makeResponse(http::status::not_found, R"({"error":"Not Found","code":5})"));
+    else if (asked.body().size() > maxRequestBytes)
+        done(refuse({invalidArgument, "etcdserver: request is too large"}));
+    else
+        done((this->*found->run)(asked));
 }
 
 void store_mode::faultChanged()
--- a/test/standin/store_mode.hpp
+++ b/test/standin/store_mode.hpp
@@ -11,7 +11,7 @@
 class store_mode final : public mode
 {
 public:
-    [[nodiscard]] awaitable<response> answer(const request &asked) override;
+    void answer(const request &asked, answer_handler done) override;
 
 private:
     using call = response (store_mode::*)(const request &);
