--- /dev/null
+++ b/src/azurelb/http/http_client.cpp
@@ -0,0 +1,32 @@
+#include <azurelb/http/http_client.hpp>
+#include <azurelb/http/http_connection.hpp>
+
+namespace azurelb {
+
+http_client::http_client(boost::asio::io_context &loop, const endpoint &peer)
+    : m_loop{&loop}
+    , m_peer{peer}
+{ }
+
+http_client::~http_client()
+{
+    close();
+}
+
+void http_client::call(http_request request, http_timeouts timeouts, http_handler done)
+{
+    if (m_connection && !m_connection->reusable())
+        close();
+    if (!m_connection)
+        m_connection = std::make_shared<internal::http_connection>(*m_loop, m_peer);
+    m_connection->call(std::move(request), timeouts, std::move(done));
+}
+
+void http_client::close() noexcept
+{
+    if (m_connection)
+        m_connection->close();
+    m_connection.reset();
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/http/http_connection.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <azurelb/http/http_outcome.hpp>
+#include <azurelb/http/http_timeouts.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace azurelb::internal {
+
+/** One TCP connection of an http_client. Once an exchange on it has failed it stays closed. */
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    using endpoint = boost::asio::ip::tcp::endpoint;
+
+    http_connection(boost::asio::io_context &loop, const endpoint &peer);
+
+    /** Whether another exchange may begin on this connection. */
+    [[nodiscard]] bool reusable() noexcept;
+
+    /** Connects first if that has not been done. Precondition: no exchange is under way. */
+    void call(http_request request, http_timeouts timeouts, http_handler done);
+
+    /** Closes the connection; the handler of an exchange under way is dropped. */
+    void close() noexcept;
+
+private:
+    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using error_code = boost::system::error_code;
+
+    void connect(std::chrono::milliseconds timeout);
+    void connected(error_code error);
+    void write();
+    void written(error_code error, std::size_t bytes);
+    void read();
+    void answered(error_code error);
+    void startDeadline(std::chrono::milliseconds timeout);
+    void waitIdle();
+    void shut() noexcept;
+    /** False if the timer was set anew after its handler had been queued. */
+    [[nodiscard]] bool isOver() const noexcept;
+    void finish(http_outcome &&outcome);
+    void fail(http_progress progress);
+
+    boost::asio::ip::tcp::socket m_socket;
+    endpoint m_peer;
+    boost::asio::steady_timer m_deadline;
+    std::chrono::steady_clock::time_point m_end;
+    http_request m_request;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<parser> m_parser;
+    http_handler m_done;
+    bool m_closed{false};
+};
+
+} // namespace azurelb::internal
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -15,6 +15,14 @@
     shutdown_began = 102,
     shutdown_ended = 103,
     daemon_failed = 104,
+    peer_dialled = 300,
+    peer_redialled = 301,
+    peer_address_refused = 302,
+    store_unreachable = 800,
+    store_reachable = 801,
+    vm_list_unreachable = 820,
+    vm_list_reachable = 821,
+    vm_list_malformed = 822,
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -13,6 +13,14 @@
     {event::shutdown_began, severity::info, "shutdown_began"},
     {event::shutdown_ended, severity::info, "shutdown_ended"},
     {event::daemon_failed, severity::error, "daemon_failed"},
+    {event::peer_dialled, severity::info, "peer_dialled"},
+    {event::peer_redialled, severity::warning, "peer_redialled"},
+    {event::peer_address_refused, severity::error, "peer_address_refused"},
+    {event::store_unreachable, severity::warning, "store_unreachable"},
+    {event::store_reachable, severity::info, "store_reachable"},
+    {event::vm_list_unreachable, severity::warning, "vm_list_unreachable"},
+    {event::vm_list_reachable, severity::info, "vm_list_reachable"},
+    {event::vm_list_malformed, severity::warning, "vm_list_malformed"},
 };
 
 constexpr bool ascending(const event_entry &left, const event_entry &right) noexcept
--- /dev/null
+++ b/src/azurelb/store/etcd_store.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/http/http_client.hpp>
+#include <azurelb/store/etcd_options.hpp>
+#include <azurelb/store/store.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * The store over the JSON gateway of etcd v3, with a few kept-alive connections. Calls beyond
+ * their number wait, up to a bound. A call that could not be sent to one endpoint goes to the
+ * next; a call that was sent is never sent again.
+ */
+class etcd_store final : public store
+{
+public:
+    using size_type = std::uint64_t;
+
+    /** Precondition: the options name at least one endpoint. */
+    etcd_store(boost::asio::io_context &loop, const clock_source &clock, etcd_options options);
+    ~etcd_store() override;
+
+    void start(kernel &) override { }
+
+    /** Closes all connections and drops the handlers of all calls. */
+    void stop() noexcept override;
+
+    void read(const wire::etcd::txn_request &ranges, std::chrono::milliseconds timeout,
+              store_handler done) override;
+    void commit(const wire::etcd::txn_request &transaction, std::chrono::milliseconds timeout,
+                store_handler done) override;
+
+    /** Number of calls sent to the store so far. */
+    [[nodiscard]] size_type calls() const noexcept { return m_calls; }
+
+    /** Whether the latest call that ended was answered. */
+    [[nodiscard]] bool reachable() const noexcept { return m_reachable; }
+
+private:
+    using call_ptr = std::shared_ptr<internal::etcd_call>;
+
+    /** One place of the pool. */
+    struct connection
+    {
+        std::unique_ptr<http_client> client;
+        std::size_t endpoint{0};
+        bool busy{false};
+    };
+
+    void enqueue(const wire::etcd::txn_request &transaction, std::chrono::milliseconds timeout,
+                 store_handler done);
+    void startWaiting();
+    void expire(const call_ptr &call);
+    void send(connection &place, call_ptr call);
+    void useEndpoint(connection &place);
+    void ended(connection &place, const call_ptr &call, const http_outcome &outcome);
+    [[nodiscard]] bool triesNextEndpoint(const internal::etcd_call &call,
+                                         const http_outcome &outcome) const;
+    void note(bool answered);
+    [[nodiscard]] std::chrono::milliseconds timeLeft(const internal::etcd_call &call) const;
+    [[nodiscard]] connection *findIdle() noexcept;
+    void refuseLater(store_handler done);
+
+    boost::asio::io_context &m_loop;
+    const clock_source &m_clock;
+    etcd_options m_options;
+    std::vector<connection> m_pool;
+    std::deque<call_ptr> m_waiting;
+    /** Endpoint that calls go to first. */
+    std::size_t m_endpoint{0};
+    size_type m_calls{0};
+    bool m_reachable{true};
+    /** Outlived by every handler that looks whether the store still stands. */
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/test/support/run_until.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "child_process.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+
+namespace azurelb::test {
+
+/** Runs the event loop until the condition holds; false if the time runs out first. */
+template <typename Condition>
+[[nodiscard]] bool runUntil(boost::asio::io_context &loop, Condition condition,
+                            std::chrono::milliseconds limit = generousWait)
+{
+    constexpr std::chrono::milliseconds step{5};
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (!condition() && std::chrono::steady_clock::now() < deadline) {
+        loop.restart();
+        loop.run_one_for(step);
+    }
+    return condition();
+}
+
+} // namespace azurelb::test
