--- a/src/azurelb/config/replicated_documents.cpp
+++ b/src/azurelb/config/replicated_documents.cpp
@@ -246,7 +246,7 @@
         m_metrics->failures.Increment();
     const bool isUnreachable = m_schedule->isStoreUnreachable();
     if (isUnreachable != wasUnreachable)
-        logEvent(isUnreachable ? event::store_unreachable : event::store_reachable);
+        logEvent(isUnreachable ? event::store_reads_failing : event::store_reads_resumed);
     afterApplying();
     m_writes->advance();
 }
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -21,11 +21,14 @@
     change_unknown = 203,
     documents_confirmed = 204,
     documents_unconfirmed = 205,
-    store_reachable = 206,
-    store_unreachable = 207,
+    store_reads_resumed = 206,
+    store_reads_failing = 207,
     store_data_old = 208,
     document_malformed = 209,
     audit_trimmed = 210,
+    peer_dialled = 300,
+    peer_redialled = 301,
+    peer_address_refused = 302,
     member_joined = 320,
     member_lost = 321,
     member_left = 322,
@@ -40,6 +43,11 @@
     dispatcher_changed = 500,
     circuit_opened = 501,
     circuit_closed = 502,
+    store_unreachable = 800,
+    store_reachable = 801,
+    vm_list_unreachable = 820,
+    vm_list_reachable = 821,
+    vm_list_malformed = 822,
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -19,11 +19,14 @@
     {event::change_unknown, severity::warning, "change_unknown"},
     {event::documents_confirmed, severity::info, "documents_confirmed"},
     {event::documents_unconfirmed, severity::warning, "documents_unconfirmed"},
-    {event::store_reachable, severity::info, "store_reachable"},
-    {event::store_unreachable, severity::warning, "store_unreachable"},
+    {event::store_reads_resumed, severity::info, "store_reads_resumed"},
+    {event::store_reads_failing, severity::warning, "store_reads_failing"},
     {event::store_data_old, severity::warning, "store_data_old"},
     {event::document_malformed, severity::error, "document_malformed"},
     {event::audit_trimmed, severity::info, "audit_trimmed"},
+    {event::peer_dialled, severity::info, "peer_dialled"},
+    {event::peer_redialled, severity::warning, "peer_redialled"},
+    {event::peer_address_refused, severity::error, "peer_address_refused"},
     {event::member_joined, severity::info, "member_joined"},
     {event::member_lost, severity::warning, "member_lost"},
     {event::member_left, severity::info, "member_left"},
@@ -38,6 +41,11 @@
     {event::dispatcher_changed, severity::info, "dispatcher_changed"},
     {event::circuit_opened, severity::warning, "circuit_opened"},
     {event::circuit_closed, severity::info, "circuit_closed"},
+    {event::store_unreachable, severity::warning, "store_unreachable"},
+    {event::store_reachable, severity::info, "store_reachable"},
+    {event::vm_list_unreachable, severity::warning, "vm_list_unreachable"},
+    {event::vm_list_reachable, severity::info, "vm_list_reachable"},
+    {event::vm_list_malformed, severity::warning, "vm_list_malformed"},
 };
 
 constexpr bool ascending(const event_entry &left, const event_entry &right) noexcept
--- /dev/null
+++ b/test/standin/executor_mode.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "mode.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+
+namespace azurelb::standin {
+
+/** How an executor behaves. */
+struct executor_options
+{
+    std::chrono::milliseconds run{};
+    std::uint32_t slots{};
+};
+
+/** An executor: runs any request for a while and echoes its body. */
+class executor_mode final : public mode
+{
+public:
+    executor_mode(asio::io_context &loop, executor_options options)
+        : m_loop{loop}
+        , m_options{options}
+    { }
+
+    void answer(const request &asked, answer_handler done) override;
+
+    /** GET runs shows how often each request id ran. */
+    [[nodiscard]] response control(std::string_view path, const request &asked) override;
+
+private:
+    [[nodiscard]] std::chrono::milliseconds runTime(const request &asked) const;
+    void finish(const request &asked, std::uint32_t runs, const answer_handler &done);
+
+    asio::io_context &m_loop;
+    executor_options m_options;
+    wire::standin::run_counts m_runs;
+};
+
+} // namespace azurelb::standin
