Peer transport over nng

Cause: daemons exchange heartbeats, configuration, rights and tickets. Ruled out: one pair or bus socket for all peers, where one slow peer fills the queue of the others.

--- a/src/azurelb/peer/fwd.hpp
+++ b/src/azurelb/peer/fwd.hpp
@@ -10,7 +10,18 @@
 
 class peer_transport;
 class nng_transport;
+class transport_error;
+struct nng_options;
+struct peer_address;
+struct transport_counters;
 
 using envelope_handler = std::function<void(const wire::envelope &)>;
 
+namespace internal {
+
+class nng_handle;
+class nng_inbox;
+
+} // namespace internal
+
 } // namespace azurelb
--- /dev/null
+++ b/src/azurelb/peer/nng_inbox.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <azurelb/peer/nng_handle.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace azurelb::internal {
+
+/**
+ * Listens for messages of peers. They arrive on nng's threads and are handed over on the event
+ * loop, several at once if it is busy.
+ */
+class nng_inbox : public std::enable_shared_from_this<nng_inbox>
+{
+public:
+    using message_handler = std::function<void(nng_msg &)>;
+
+    nng_inbox(boost::asio::io_context &loop, message_handler received);
+    nng_inbox(const nng_inbox &) = delete;
+    nng_inbox &operator=(const nng_inbox &) = delete;
+    ~nng_inbox();
+
+    /** Begins to listen. Throws transport_error if the address cannot be used. */
+    void listen(const std::string &address);
+
+    /** Ends the reception; the handler is not called any more. */
+    void close() noexcept;
+
+    /** The port that it listens on. */
+    [[nodiscard]] std::uint16_t port() const noexcept { return m_port; }
+
+    /** Number of messages dropped because too many waited for the event loop. */
+    [[nodiscard]] std::uint64_t overflowed() const;
+
+private:
+    static void arrived(void *self);
+    void take();
+    void push(nng_msg_ptr message);
+    void handOver();
+
+    boost::asio::io_context &m_loop;
+    message_handler m_received;
+    std::unique_ptr<nng_handle> m_socket;
+    nng_aio *m_aio{nullptr};
+    std::uint16_t m_port{0};
+    mutable std::mutex m_mutex;
+    std::vector<nng_msg_ptr> m_waiting;
+    std::uint64_t m_overflowed{0};
+};
+
+} // namespace azurelb::internal
--- /dev/null
+++ b/src/azurelb/peer/nng_limits.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstddef>
+
+namespace azurelb::internal {
+
+/** Largest message that is sent or taken. */
+inline constexpr std::size_t maxMessageBytes{4U << 20U};
+
+} // namespace azurelb::internal
--- /dev/null
+++ b/src/azurelb/peer/nng_transport.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <azurelb/core/identifier.hpp>
+#include <azurelb/peer/nng_options.hpp>
+#include <azurelb/peer/peer_address.hpp>
+#include <azurelb/peer/peer_transport.hpp>
+#include <azurelb/peer/transport_counters.hpp>
+
+#include <azurelb/wire/peer.pb.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * Peer messages over nng: one push socket for each peer and one pull socket for all. A send never
+ * waits: what a peer does not take at once is queued, up to a few messages, and then dropped.
+ * The event loop must allow posts from other threads.
+ */
+class nng_transport final : public peer_transport
+{
+public:
+    nng_transport(boost::asio::io_context &loop, nng_options options);
+    ~nng_transport() override;
+
+    /** Begins to listen. Throws transport_error if the address cannot be used. */
+    void start(kernel &services) override;
+
+    /** Begins to listen, for use without a kernel. */
+    void start();
+
+    void stop() noexcept override;
+
+    [[nodiscard]] const vm_id &self() const noexcept override { return m_options.self; }
+
+    [[nodiscard]] incarnation selfIncarnation() const noexcept override { return m_options.id; }
+
+    void send(const vm_id &to, std::string_view serviceOnPeer,
+              const google::protobuf::MessageLite &message) override;
+
+    void subscribe(std::string_view serviceOnSelf, envelope_handler handler) override;
+
+    /**
+     * Sets all peers. Connections to those that stay at their address go on; an entry for this
+     * process itself is passed over.
+     */
+    void setPeers(const std::vector<peer_address> &peers);
+
+    /**
+     * Replaces the connection to a peer by a new one and drops what waits on the old one. To be
+     * called when nothing has been heard from the peer, since a connection can go silent for good
+     * without any error.
+     */
+    void redial(const vm_id &peer);
+
+    /** The port that it listens on; 0 before the start. */
+    [[nodiscard]] std::uint16_t port() const noexcept;
+
+    [[nodiscard]] transport_counters counters() const;
+
+private:
+    /** The outgoing connection to one peer. */
+    struct outgoing
+    {
+        std::string address;
+        std::unique_ptr<internal::nng_handle> socket;
+    };
+
+    /** The incoming connection that a peer's latest message came by. */
+    struct incoming
+    {
+        incarnation id{};
+        std::uint32_t pipe{0};
+    };
+
+    void sendToSelf(std::string_view serviceOnSelf, const google::protobuf::MessageLite &message);
+    void dial(const vm_id &peer, outgoing &connection);
+    void received(std::string_view bytes, std::uint32_t pipe);
+    void closeReplaced(const wire::envelope &message, std::uint32_t pipe);
+    [[nodiscard]] bool deliver(const wire::envelope &message) const;
+    void fill(std::string_view service, const google::protobuf::MessageLite &message);
+
+    boost::asio::io_context &m_loop;
+    nng_options m_options;
+    std::map<vm_id, outgoing> m_outgoing;
+    std::map<vm_id, incoming> m_incoming;
+    std::map<std::string, envelope_handler, std::less<>> m_handlers;
+    std::shared_ptr<internal::nng_inbox> m_inbox;
+    transport_counters m_counters;
+    /** Kept between sends for its memory. */
+    wire::envelope m_sending;
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
+};
+
+} // namespace azurelb
