--- a/src/azurelb/http/http_outcome.hpp
+++ b/src/azurelb/http/http_outcome.hpp
@@ -3,7 +3,6 @@
 #include <azurelb/http/http_progress.hpp>
 #include <azurelb/http/message.hpp>
 
-
 namespace azurelb {
 
 /** How an HTTP exchange ended. The response is valid only if it was answered. */
--- a/src/azurelb/upstream/view_upstream_directory.cpp
+++ b/src/azurelb/upstream/view_upstream_directory.cpp
@@ -35,6 +35,8 @@
     const config_view_ptr config = m_documents->config();
     const fleet_view_ptr fleet = m_documents->fleet();
     const auto list = m_list->list();
+    if (!list)
+        return;
     std::unordered_map<queue_name, std::vector<upstream_vm>> rebuilt;
     for (const wire::queue &each : config->document().queues()) {
         const queue_name name{each.name()};
--- a/src/azurelbd/daemon.cpp
+++ b/src/azurelbd/daemon_process.cpp
@@ -6,6 +6,7 @@
 #include <azurelb/membership/heartbeat_membership.hpp>
 #include <azurelb/metrics/metrics.hpp>
 #include <azurelb/operations/operator_api.hpp>
+#include <azurelb/peer/nng_options.hpp>
 #include <azurelb/peer/nng_transport.hpp>
 #include <azurelb/platform/http_vm_controls.hpp>
 #include <azurelb/platform/polling_vm_list.hpp>
@@ -14,12 +15,13 @@
 #include <azurelb/share/share_options.hpp>
 #include <azurelb/store/etcd_store.hpp>
 #include <azurelb/upstream/view_upstream_directory.hpp>
-#include <azurelbd/daemon.hpp>
+#include <azurelbd/daemon_process.hpp>
 #include <azurelbd/departure_tracker.hpp>
 #include <azurelbd/peer_directory.hpp>
 
 #include <algorithm>
 #include <iterator>
+#include <random>
 
 namespace azurelb {
 
@@ -34,6 +36,13 @@
     return options;
 }
 
+nng_options peerOptions(const settings &from)
+{
+    std::random_device source;
+    std::uniform_int_distribution<std::uint64_t> anyNumber;
+    return {from.vm, incarnation{anyNumber(source)}, from.peerListen};
+}
+
 replica_options replicaOptions(const settings &from)
 {
     replica_options options;
@@ -51,7 +60,7 @@
 
 } // namespace
 
-daemon::daemon(settings options)
+daemon_process::daemon_process(settings options)
     : m_settings{std::move(options)}
     , m_signals{m_loop, SIGTERM, SIGINT}
     , m_shutdown{m_loop, m_services, m_settings.drainDelay, m_settings.callers.longestTimeout}
@@ -61,7 +70,7 @@
     addRequestServices();
 }
 
-void daemon::run()
+void daemon_process::run()
 {
     awaitSignal();
     m_services.start();
@@ -74,17 +83,18 @@
     m_services.stop();
 }
 
-void daemon::addPlatformServices()
+void daemon_process::addPlatformServices()
 {
-    const auto platform = parseEndpoint(m_settings.platformEndpoint).value();
+    platform_options platform;
+    platform.endpoint = parseEndpoint(m_settings.platformEndpoint).value();
     m_services.emplace<metrics>();
     m_services.emplace<etcd_store>(m_loop, m_clock, storeOptions(m_settings));
-    m_services.emplace<nng_transport>(m_loop, m_settings.vm, m_settings.peerListen);
-    m_services.emplace<polling_vm_list>(m_loop, m_clock, platform);
+    m_services.emplace<nng_transport>(m_loop, peerOptions(m_settings));
+    m_services.emplace<polling_vm_list>(m_loop, platform);
     m_services.emplace<http_vm_controls>(m_loop, platform);
 }
 
-void daemon::addFleetServices()
+void daemon_process::addFleetServices()
 {
     m_services.emplace<heartbeat_membership>(m_loop, m_clock);
     m_services.emplace<peer_directory>(m_settings.peers);
@@ -94,14 +104,14 @@
     m_services.emplace<ledger_limit_service>(m_loop, m_clock, departures.departures());
 }
 
-void daemon::addRequestServices()
+void daemon_process::addRequestServices()
 {
     m_services.emplace<dispatched_slot_service>(m_loop, m_clock, shareOptions(m_settings));
     m_services.emplace<caller_api>(m_loop, m_clock, m_settings.callers, m_settings.connections);
     m_services.emplace<operator_api>(m_loop, m_settings);
 }
 
-void daemon::awaitSignal()
+void daemon_process::awaitSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &cancelled, int) {
         if (cancelled)
--- a/src/azurelbd/daemon.hpp
+++ b/src/azurelbd/daemon_process.hpp
@@ -11,13 +11,13 @@
 namespace azurelb {
 
 /** One azurelbd process: its services and its life from start to graceful shutdown. */
-class daemon
+class daemon_process
 {
 public:
     /** The settings must have passed their checks. */
-    explicit daemon(settings options);
-    daemon(const daemon &) = delete;
-    daemon &operator=(const daemon &) = delete;
+    explicit daemon_process(settings options);
+    daemon_process(const daemon_process &) = delete;
+    daemon_process &operator=(const daemon_process &) = delete;
 
     /** Runs until a graceful shutdown, ordered by SIGTERM or SIGINT, is complete. */
     void run();
--- a/src/azurelbd/departure_tracker.cpp
+++ b/src/azurelbd/departure_tracker.cpp
@@ -34,7 +34,8 @@
 
 void departure_tracker::update()
 {
-    m_departures.update(*m_list->list(), m_clock.now());
+    if (const auto list = m_list->list())
+        m_departures.update(*list, m_clock.now());
     m_timer.expires_after(interval);
     m_timer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled)
--- a/src/azurelbd/fwd.hpp
+++ b/src/azurelbd/fwd.hpp
@@ -2,7 +2,7 @@
 
 namespace azurelb {
 
-class daemon;
+class daemon_process;
 class departure_tracker;
 class peer_directory;
 class shutdown_sequence;
--- a/src/azurelbd/main.cpp
+++ b/src/azurelbd/main.cpp
@@ -1,6 +1,6 @@
 #include <azurelb/log/log.hpp>
 #include <azurelb/settings/read_settings.hpp>
-#include <azurelbd/daemon.hpp>
+#include <azurelbd/daemon_process.hpp>
 
 #include <iostream>
 
@@ -22,7 +22,7 @@
 {
     openLog({options.leastSeverity, options.vm.value()});
     try {
-        daemon process{options};
+        daemon_process process{options};
         process.run();
     } catch (const std::exception &failure) {
         logEvent(event::daemon_failed, {{"reason", failure.what()}});
--- a/src/azurelbd/peer_directory.cpp
+++ b/src/azurelbd/peer_directory.cpp
@@ -10,6 +10,18 @@
 
 namespace azurelb {
 
+namespace {
+
+void addEntryVms(std::map<vm_id, std::string> &addresses, const wire::vm_list &list)
+{
+    for (const wire::listed_vm &vm : list.vms()) {
+        if (vm.entry())
+            addresses.insert_or_assign(vm_id{vm.id()}, vm.address());
+    }
+}
+
+} // namespace
+
 peer_directory::peer_directory(std::vector<peer_setting> fixed)
     : m_fixed{std::move(fixed)}
 { }
@@ -27,10 +39,8 @@
 void peer_directory::refresh()
 {
     std::map<vm_id, std::string> addresses;
-    for (const wire::listed_vm &vm : m_list->list()->vms()) {
-        if (vm.entry())
-            addresses.insert_or_assign(vm_id{vm.id()}, vm.address());
-    }
+    if (const auto list = m_list->list())
+        addEntryVms(addresses, *list);
     for (const peer_setting &each : m_fixed)
         addresses.insert_or_assign(each.vm, each.address);
     addresses.erase(m_transport->self());
