Platform client: polled list of VMs, drain and reboot

Cause: membership, the fleet planner and the upstream directory follow the platform's list. Ruled out: a watch, which the platform does not offer for its list and which costs a call while it waits.

--- /dev/null
+++ b/src/azurelb/platform/http_vm_controls.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <azurelb/core/identifier.hpp>
+#include <azurelb/http/http_client.hpp>
+#include <azurelb/platform/platform_options.hpp>
+#include <azurelb/platform/vm_controls.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <string>
+
+namespace azurelb {
+
+/** The platform's orders over HTTP, one after the other on one connection. */
+class http_vm_controls final : public vm_controls
+{
+public:
+    http_vm_controls(boost::asio::io_context &loop, const platform_options &options);
+
+    void start(kernel &) override { }
+    void stop() noexcept override;
+
+    void drain(const vm_id &vm, control_handler done) override;
+    void reboot(const vm_id &vm, control_handler done) override;
+
+private:
+    struct order
+    {
+        std::string path;
+        control_handler done;
+    };
+
+    void enqueue(const vm_id &vm, std::string_view verb, control_handler done);
+    void sendNext();
+    void ended(const http_outcome &outcome);
+
+    platform_options m_options;
+    http_client m_client;
+    /** The first is under way. */
+    std::deque<order> m_orders;
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/platform/polling_vm_list.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <azurelb/http/http_client.hpp>
+#include <azurelb/platform/platform_options.hpp>
+#include <azurelb/platform/vm_list_source.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * Polls the platform's list, which is sent only if it has changed. While the platform cannot be
+ * read the last list stays.
+ */
+class polling_vm_list final : public vm_list_source
+{
+public:
+    using size_type = std::uint64_t;
+
+    polling_vm_list(boost::asio::io_context &loop, const platform_options &options);
+
+    void start(kernel &services) override;
+
+    /** Begins to poll, for use without a kernel. */
+    void start();
+
+    void stop() noexcept override;
+
+    [[nodiscard]] list_ptr list() const override { return m_list; }
+
+    void subscribe(std::function<void()> changed) override;
+
+    /** Whether the latest poll was answered. */
+    [[nodiscard]] bool reachable() const noexcept { return m_reachable; }
+
+    /** Number of polls that were answered, and of those that brought a list. */
+    [[nodiscard]] size_type polls() const noexcept { return m_polls; }
+    [[nodiscard]] size_type listsRead() const noexcept { return m_listsRead; }
+
+private:
+    void poll();
+    void answered(const http_outcome &outcome);
+    void take(const http_response &response);
+    void note(bool reachable);
+    void wait();
+
+    platform_options m_options;
+    http_client m_client;
+    boost::asio::steady_timer m_timer;
+    std::string m_tag;
+    list_ptr m_list;
+    std::vector<std::function<void()>> m_subscribers;
+    bool m_reachable{true};
+    size_type m_polls{0};
+    size_type m_listsRead{0};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/platform/vm_list_source.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <azurelb/core/service.hpp>
+#include <azurelb/platform/fwd.hpp>
+
+#include <azurelb/wire/platform.pb.h>
+
+#include <functional>
+#include <memory>
+
+namespace azurelb {
+
+/** The platform's list of VMs as last read. It lags behind the VMs themselves. */
+class vm_list_source : public service
+{
+public:
+    /** Name of the service in the kernel. */
+    static constexpr std::string_view serviceName{"vm_list"};
+
+    using list_ptr = std::shared_ptr<const wire::vm_list>;
+
+    [[nodiscard]] std::string_view name() const noexcept final { return serviceName; }
+
+    /** The last list read; null before the first. */
+    [[nodiscard]] virtual list_ptr list() const = 0;
+
+    /** Calls the handler on the event loop after each change of list(). */
+    virtual void subscribe(std::function<void()> changed) = 0;
+};
+
+} // namespace azurelb
