--- /dev/null
+++ b/src/azurelb/config/secret_digest.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace azurelb {
+
+/** SHA-256 (FIPS 180-4) of a team's secret, 32 bytes; the only form in which secrets are kept. */
+[[nodiscard]] std::string secretDigest(std::string_view secret);
+
+} // namespace azurelb
