Applying a change to the configuration, with validation and audit record

Cause: every operator's change needs one pure decision: new document, record, or a clear fault. Ruled out: validation in the HTTP layer; it could not be repeated on a newer document after a race.

--- a/src/azurelb/config/fwd.hpp
+++ b/src/azurelb/config/fwd.hpp
@@ -15,6 +15,8 @@
 enum class change_error;
 struct change_outcome;
 struct fleet_outcome;
+struct change_fault;
+struct applied_change;
 
 using config_view_ptr = std::shared_ptr<const config_view>;
 using fleet_view_ptr = std::shared_ptr<const fleet_view>;
