Replicated documents and heartbeat membership, first whole

Cause: daemons need one configuration and one fleet state, proved recent, with few store calls. The services have no test yet. Conclusion: a change is accepted once it is committed and a majority of the daemons hold it; daemons confirm their documents by the store, a confirmed peer or a majority.

--- a/src/azurelb/config/apply_change.cpp
+++ b/src/azurelb/config/apply_change.cpp
@@ -53,7 +53,8 @@
         return {};
     std::string detail = target.result.record.entity() + " has generation "
         + std::to_string(present) + ", expected " + std::to_string(change.expected_generation());
-    return boost::leaf::new_error(change_fault{change_error::conflict, std::move(detail)});
+    return boost::leaf::new_error(
+        change_fault{change_error::conflict, std::move(detail), target.result.record.entity()});
 }
 
 template <typename Entity>
--- /dev/null
+++ b/src/azurelb/config/audit_trail.cpp
@@ -0,0 +1,143 @@
+#include <azurelb/config/audit_trail.hpp>
+#include <azurelb/config/change_outcome.hpp>
+#include <azurelb/config/internal/store_keys.hpp>
+#include <azurelb/store/store.hpp>
+#include <azurelb/store/store_reply.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace {
+
+using namespace internal;
+
+constexpr std::size_t maximumListed{1000};
+/** Two operations delete one record; a transaction of the store has at most 128. */
+constexpr std::int64_t trimmedAtOnce{50};
+constexpr std::chrono::hours firstWindow{24};
+constexpr int windowGrowth{8};
+
+/** Allowance for clocks of other daemons that run ahead of this one's. */
+constexpr std::chrono::hours clockSkew{1};
+
+wire::audit_list toList(const wire::etcd::txn_response &response)
+{
+    wire::audit_list list;
+    if (response.responses_size() == 0)
+        return list;
+    for (const auto &pair : response.responses(0).response_range().kvs()) {
+        wire::audit_record record;
+        if (record.ParseFromString(pair.value()))
+            *list.add_records() = std::move(record);
+    }
+    return list;
+}
+
+/** Places of the two ranges read before a trim. */
+constexpr int oldestOperation{0};
+constexpr int newestOperation{1};
+
+/** The part of an audit key that gives the time; it sorts like the time. */
+std::string_view timeOf(std::string_view key)
+{
+    constexpr std::size_t timeDigits{20};
+    return key.substr(std::min(auditPrefix.size(), key.size()), timeDigits);
+}
+
+wire::etcd::txn_request trimRequest(wall_time wallNow, const replica_options &options)
+{
+    wire::etcd::txn_request request;
+    auto &oldest = addRange(*request.mutable_success(), auditPrefix);
+    oldest.set_range_end(auditKey(wallNow - options.auditKeptFor));
+    oldest.set_limit(trimmedAtOnce);
+    auto &newest = addRange(*request.mutable_success(), auditPrefix);
+    newest.set_range_end(endOf(auditPrefix));
+    newest.set_limit(1);
+    newest.set_keys_only(true);
+    newest.set_order(wire::etcd::range_request::DESCEND);
+    newest.set_target(wire::etcd::range_request::KEY);
+    return request;
+}
+
+/** Time before which records are past their age by the newest record's time too. */
+std::string cutOff(const wire::etcd::key_value &newest, const replica_options &options)
+{
+    const std::string digits{timeOf(newest.key())};
+    const std::chrono::milliseconds since{std::strtoll(digits.c_str(), nullptr, 10)};
+    const std::string key = auditKey(wall_time{since} - options.auditKeptFor);
+    return std::string{timeOf(key)};
+}
+
+} // namespace
+
+audit_trail::audit_trail(store &backend, const replica_options &options)
+    : m_store{backend}
+    , m_options{options}
+{ }
+
+void audit_trail::read(std::size_t most, wall_time wallNow, document_source::audit_handler done)
+{
+    readWindow(std::clamp<std::size_t>(most, 1, maximumListed), wallNow, firstWindow, done);
+}
+
+void audit_trail::trim(wall_time wallNow, std::function<void(std::size_t)> done)
+{
+    m_store.read(trimRequest(wallNow, m_options), m_options.commitTimeout,
+                 [this, done = std::move(done)](const store_reply &reply) { remove(reply, done); });
+}
+
+void audit_trail::readWindow(std::size_t most, wall_time wallNow, std::chrono::hours window,
+                             const document_source::audit_handler &done)
+{
+    wire::etcd::txn_request request;
+    auto &range = addRange(*request.mutable_success(), auditKey(wallNow - window));
+    range.set_range_end(auditKey(wallNow + clockSkew));
+    range.set_limit(static_cast<std::int64_t>(most));
+    range.set_order(wire::etcd::range_request::DESCEND);
+    range.set_target(wire::etcd::range_request::KEY);
+    const auto onReply = [=, this](const store_reply &reply) {
+        if (reply.error != store_error::none) {
+            done(change_error::unavailable, {});
+            return;
+        }
+        const wire::audit_list list = toList(reply.response);
+        const bool enough = static_cast<std::size_t>(list.records_size()) >= most;
+        if (enough || window >= m_options.auditKeptFor + firstWindow)
+            done(change_error::none, list);
+        else
+            readWindow(most, wallNow, window * windowGrowth, done);
+    };
+    m_store.read(request, m_options.commitTimeout, onReply);
+}
+
+void audit_trail::remove(const store_reply &found, const std::function<void(std::size_t)> &done)
+{
+    const auto *newest =
+        found.error == store_error::none ? firstPair(found.response, newestOperation) : nullptr;
+    if (!newest) {
+        done(0);
+        return;
+    }
+    wire::etcd::txn_request request;
+    const std::string before = cutOff(*newest, m_options);
+    std::size_t count = 0;
+    for (const auto &pair : found.response.responses(oldestOperation).response_range().kvs()) {
+        if (timeOf(pair.key()) >= before)
+            continue;
+        ++count;
+        addDelete(*request.mutable_success(), pair.key());
+        wire::audit_record record;
+        if (record.ParseFromString(pair.value()) && !record.change_id().empty())
+            addDelete(*request.mutable_success(), markerKey(record.change_id()));
+    }
+    if (count == 0) {
+        done(0);
+        return;
+    }
+    m_store.commit(request, m_options.commitTimeout, [done, count](const store_reply &reply) {
+        done(reply.error == store_error::none ? count : 0);
+    });
+}
+
+} // namespace azurelb
--- a/src/azurelb/config/change_fault.hpp
+++ b/src/azurelb/config/change_fault.hpp
@@ -12,6 +12,8 @@
     change_error error{change_error::invalid};
     /** Names the field, its value and what is allowed. */
     std::string detail{};
+    /** The entity that has not the expected generation; empty for other faults. */
+    std::string entity{};
 };
 
 } // namespace azurelb
--- /dev/null
+++ b/src/azurelb/config/document_exchange.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <azurelb/config/held_documents.hpp>
+#include <azurelb/config/replica_options.hpp>
+#include <azurelb/core/identifier.hpp>
+#include <azurelb/peer/fwd.hpp>
+
+#include <functional>
+
+namespace azurelb {
+
+namespace wire {
+class fetch_reply;
+class fetch_request;
+} // namespace wire
+
+/** Asks peers for newer documents, and answers when they ask. */
+class document_exchange
+{
+public:
+    /** Told of the peer from which newer documents came. */
+    using handler = std::function<void(const vm_id &)>;
+
+    document_exchange(peer_transport &transport, held_documents &documents,
+                      const replica_options &options, handler applied);
+
+    /** Asks a peer for what it holds. Returns false if that was asked for a short time ago. */
+    bool fetch(const vm_id &from, const document_revisions &wanted, time_point now);
+
+private:
+    void onEnvelope(const wire::envelope &envelope);
+    void onRequest(const vm_id &from, const wire::fetch_request &request);
+    void onReply(const vm_id &from, const wire::fetch_reply &reply);
+
+    peer_transport &m_transport;
+    held_documents &m_documents;
+    replica_options m_options;
+    handler m_applied;
+    document_revisions m_wanted{};
+    time_point m_sentAt{};
+};
+
+} // namespace azurelb
--- a/src/azurelb/config/internal/change_rules.cpp
+++ b/src/azurelb/config/internal/change_rules.cpp
@@ -57,7 +57,7 @@
     detail += value;
     detail += "\"; allowed: ";
     detail += allowed;
-    return boost::leaf::new_error(change_fault{change_error::invalid, std::move(detail)});
+    return boost::leaf::new_error(change_fault{change_error::invalid, std::move(detail), {}});
 }
 
 checked checkName(std::string_view field, std::string_view name)
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -15,6 +15,21 @@
     shutdown_began = 102,
     shutdown_ended = 103,
     daemon_failed = 104,
+    document_applied = 200,
+    change_committed = 201,
+    change_refused = 202,
+    change_unknown = 203,
+    documents_confirmed = 204,
+    documents_unconfirmed = 205,
+    store_reachable = 206,
+    store_unreachable = 207,
+    store_data_old = 208,
+    document_malformed = 209,
+    audit_trimmed = 210,
+    member_joined = 320,
+    member_lost = 321,
+    member_left = 322,
+    peer_silent = 323,
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -13,6 +13,21 @@
     {event::shutdown_began, severity::info, "shutdown_began"},
     {event::shutdown_ended, severity::info, "shutdown_ended"},
     {event::daemon_failed, severity::error, "daemon_failed"},
+    {event::document_applied, severity::info, "document_applied"},
+    {event::change_committed, severity::info, "change_committed"},
+    {event::change_refused, severity::info, "change_refused"},
+    {event::change_unknown, severity::warning, "change_unknown"},
+    {event::documents_confirmed, severity::info, "documents_confirmed"},
+    {event::documents_unconfirmed, severity::warning, "documents_unconfirmed"},
+    {event::store_reachable, severity::info, "store_reachable"},
+    {event::store_unreachable, severity::warning, "store_unreachable"},
+    {event::store_data_old, severity::warning, "store_data_old"},
+    {event::document_malformed, severity::error, "document_malformed"},
+    {event::audit_trimmed, severity::info, "audit_trimmed"},
+    {event::member_joined, severity::info, "member_joined"},
+    {event::member_lost, severity::warning, "member_lost"},
+    {event::member_left, severity::info, "member_left"},
+    {event::peer_silent, severity::info, "peer_silent"},
 };
 
 constexpr bool ascending(const event_entry &left, const event_entry &right) noexcept
--- /dev/null
+++ b/src/azurelb/membership/heartbeat_membership.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <azurelb/membership/heartbeat_table.hpp>
+#include <azurelb/membership/membership.hpp>
+#include <azurelb/peer/fwd.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace azurelb {
+
+class peer_transport;
+class metrics;
+
+namespace internal {
+struct membership_metrics;
+} // namespace internal
+
+/**
+ * Membership by heartbeats over the peer transport. Each heartbeat also carries the state of this
+ * daemon's documents, so that there is one periodic message to each peer.
+ */
+class heartbeat_membership final : public membership
+{
+public:
+    heartbeat_membership(boost::asio::io_context &context, const clock_source &clock,
+                         const heartbeat_options &options = {});
+    ~heartbeat_membership() override;
+
+    /** Needs the peer transport and the metrics. */
+    void start(kernel &services) override;
+    void stop() noexcept override;
+
+    [[nodiscard]] std::vector<member> fresh() const override;
+    void subscribe(std::function<void()> changed) override;
+
+    /** Replaces the VMs that heartbeats go to. Call after start(). */
+    void setPeers(const std::vector<vm_id> &vms);
+
+    /** Sets who writes and who reads the documents' state in heartbeats. */
+    void attach(replica_writer writer, replica_reader reader);
+
+    /** Sets who dials a silent peer anew. */
+    void setRedial(redial_handler redial);
+
+    /** Sends a heartbeat to every peer at once, without waiting for the period. */
+    void announce();
+
+    /** Sends a heartbeat to one peer at once. */
+    void announceTo(const vm_id &to);
+
+    /** Tells the peers that this daemon shuts down; it is no longer fresh anywhere. */
+    void leave();
+
+    /** True if the member told that it shuts down. */
+    [[nodiscard]] bool isLeaving(const member &id) const noexcept;
+
+    /** VM names heard of in the last minutes that did not leave, this one included. */
+    [[nodiscard]] std::size_t countKnown() const;
+
+    /** Sends what is due. The timer calls it; tests under virtual time call it in its place. */
+    void tick();
+
+private:
+    void schedule();
+    void send(const vm_id &to);
+    void onEnvelope(const wire::envelope &envelope);
+    void notifyIfChanged();
+    void logChange(const std::vector<member> &before, const std::vector<member> &after) const;
+
+    boost::asio::steady_timer m_timer;
+    const clock_source &m_clock;
+    heartbeat_options m_options;
+    peer_transport *m_transport{nullptr};
+    std::unique_ptr<heartbeat_table> m_table{};
+    std::unique_ptr<internal::membership_metrics> m_metrics{};
+    std::vector<member> m_fresh{};
+    std::vector<std::function<void()>> m_subscribers{};
+    replica_writer m_writer{};
+    replica_reader m_reader{};
+    redial_handler m_redial{};
+    time_point m_nextRoundAt{};
+};
+
+} // namespace azurelb
