--- a/test/azurelb/config/cluster_fuzz_test.cpp
+++ b/test/azurelb/config/cluster_fuzz_test.cpp
@@ -72,6 +72,8 @@
         m_oracle.check();
     }
 
+    [[nodiscard]] unsigned sideOf(std::size_t slot) const { return (m_sides >> slot) & 1U; }
+
     [[nodiscard]] bool runs(std::size_t slot)
     {
         return !m_cluster.daemon(slot).dead && !m_cluster.daemon(slot).paused;
@@ -134,14 +136,30 @@
     /** Cuts the cluster in two; the bits of the number tell the sides and who reaches the store. */
     void split(std::size_t, unsigned number)
     {
+        m_sides = number;
         for (std::size_t from = 0; from < m_cluster.size(); ++from) {
-            const unsigned side = (number >> from) & 1U;
             for (std::size_t to = 0; to < m_cluster.size(); ++to)
-                m_cluster.cut(from, to, side != ((number >> to) & 1U));
-            m_cluster.daemon(from).backend->setReachable(side == 0 || number % 7 == 0);
+                m_cluster.cut(from, to, sideOf(from) != sideOf(to));
+            m_cluster.daemon(from).backend->setReachable(sideOf(from) == 0 || m_sides % 7 == 0);
         }
     }
 
+    /** A process is replaced by one on the other side of the cut. */
+    void defect(std::size_t slot, unsigned)
+    {
+        m_cluster.start(slot);
+        split(slot, m_sides ^ (1U << slot));
+    }
+
+    /** A split, a change on one side, then a process of that side is replaced on the other. */
+    void splitAndDefect(std::size_t slot, unsigned number)
+    {
+        split(slot, number);
+        submit(slot, number);
+        wait(std::chrono::milliseconds{number * 3});
+        defect(slot == 0 ? 1 : 0, number);
+    }
+
     void pause(std::size_t slot, unsigned) { m_cluster.daemon(slot).paused = runs(slot); }
 
     void resume(std::size_t slot, unsigned)
@@ -173,12 +191,14 @@
         &history::cutOneWay, &history::isolate, &history::split,    &history::split,
         &history::pause,     &history::resume,  &history::resume,   &history::kill,
         &history::restart,   &history::restart, &history::disturb,  &history::heal,
-        &history::heal,      &history::heal,
+        &history::heal,      &history::heal,    &history::defect,   &history::splitAndDefect,
     };
 
     cluster_model m_cluster;
     cluster_oracle m_oracle{m_cluster};
     std::uint32_t m_changes{0};
+    /** Which side of the last split each slot is on, one bit each. */
+    unsigned m_sides{0};
 };
 
 const unsigned history::kinds = steps.size();
