--- /dev/null
+++ b/test/azurelb/membership/heartbeat_fuzz_test.cpp
@@ -0,0 +1,252 @@
+#include <azurelb/config/virtual_time.hpp>
+#include <azurelb/membership/heartbeat_table.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <memory>
+#include <random>
+
+namespace {
+
+using namespace azurelb;
+using namespace std::chrono_literals;
+
+constexpr std::size_t slots{4};
+
+/** One step of a history; what the numbers mean depends on the kind. */
+struct command
+{
+    unsigned kind{};
+    unsigned first{};
+    unsigned second{};
+    unsigned waitMs{};
+};
+
+std::ostream &operator<<(std::ostream &out, const command &each)
+{
+    return out << each.kind << '(' << each.first << ',' << each.second << ")+" << each.waitMs;
+}
+
+/**
+ * Processes that exchange heartbeats. The oracle knows until when a message from one could set out
+ * for another: no process may be fresh that could not be asked, or could not answer, a short time
+ * ago.
+ */
+class history
+{
+    struct process
+    {
+        explicit process(member self)
+            : table{std::move(self), {}}
+        { }
+
+        heartbeat_table table;
+        bool paused{false};
+        bool leaving{false};
+    };
+
+    using process_ptr = std::shared_ptr<process>;
+    using step = void (history::*)(std::size_t, std::size_t);
+
+public:
+    static const unsigned kinds;
+
+    history()
+    {
+        for (std::size_t slot = 0; slot < slots; ++slot)
+            start(slot, 0);
+        beat();
+    }
+
+    void run(const command &each)
+    {
+        (this->*steps[each.kind % steps.size()])(each.first % slots, each.second % slots);
+        m_time.advance(std::chrono::milliseconds{each.waitMs}, [this] { check(); });
+    }
+
+    /** With all faults ended everybody sees everybody. */
+    void finish()
+    {
+        m_cut = {};
+        m_late = m_lossy = m_doubled = false;
+        for (std::size_t slot = 0; slot < slots; ++slot) {
+            if (!m_processes[slot] || m_processes[slot]->leaving)
+                start(slot, 0);
+            m_processes[slot]->paused = false;
+        }
+        m_time.advance(6s, [this] { check(); });
+        for (const process_ptr &each : m_processes)
+            RC_ASSERT(each->table.fresh(m_time.now()).size() == slots);
+    }
+
+private:
+    void start(std::size_t slot, std::size_t)
+    {
+        const vm_id vm{"vm-" + std::to_string(slot)};
+        m_processes[slot] = std::make_shared<process>(member{vm, incarnation{++m_started}});
+        std::vector<vm_id> peers;
+        for (std::size_t other = 0; other < slots; ++other)
+            peers.emplace_back("vm-" + std::to_string(other));
+        m_processes[slot]->table.setPeers(peers, m_time.now());
+        for (std::size_t other = 0; other < slots; ++other)
+            m_canSend[slot][other] = {};
+    }
+
+    void kill(std::size_t slot, std::size_t) { m_processes[slot] = nullptr; }
+
+    void pause(std::size_t slot, std::size_t)
+    {
+        if (m_processes[slot])
+            m_processes[slot]->paused = true;
+    }
+
+    void resume(std::size_t slot, std::size_t)
+    {
+        if (m_processes[slot])
+            m_processes[slot]->paused = false;
+    }
+
+    void leave(std::size_t slot, std::size_t)
+    {
+        if (!m_processes[slot])
+            return;
+        m_processes[slot]->leaving = true;
+        m_processes[slot]->table.leave();
+    }
+
+    void cut(std::size_t from, std::size_t to) { m_cut[from][to] = true; }
+
+    void mend(std::size_t from, std::size_t to) { m_cut[from][to] = m_cut[to][from] = false; }
+
+    void disturb(std::size_t first, std::size_t second)
+    {
+        m_lossy = first % 2 == 0;
+        m_late = second % 2 == 0;
+        m_doubled = first > 1;
+    }
+
+    void wait(std::size_t, std::size_t) { }
+
+    /** Sends a round of every process, and notes who could send to whom. */
+    void beat()
+    {
+        for (std::size_t from = 0; from < slots; ++from) {
+            if (m_processes[from] && !m_processes[from]->paused)
+                sendAll(from);
+        }
+        m_time.after(250ms, [this] { beat(); });
+    }
+
+    void sendAll(std::size_t from)
+    {
+        heartbeat_table &table = m_processes[from]->table;
+        table.beginRound(m_time.now());
+        for (std::size_t to = 0; to < slots; ++to) {
+            if (from == to || m_cut[from][to])
+                continue;
+            m_canSend[from][to] = m_time.now();
+            transmit(from, to, table.compose(vm_id{"vm-" + std::to_string(to)}));
+        }
+    }
+
+    void transmit(std::size_t from, std::size_t to, const wire::heartbeat &heartbeat)
+    {
+        const member sender = m_processes[from]->table.self();
+        if (m_lossy && m_random() % 3 == 0)
+            return;
+        for (int copy = 0; copy < (m_doubled ? 2 : 1); ++copy) {
+            const auto delay = m_late ? std::chrono::milliseconds{m_random() % 3000} : 2ms;
+            m_time.after(delay, [this, sender, to, heartbeat, sentAt = m_time.now()] {
+                deliver(sender, to, heartbeat, sentAt);
+            });
+        }
+    }
+
+    void deliver(const member &sender, std::size_t to, const wire::heartbeat &heartbeat,
+                 time_point sentAt)
+    {
+        const process_ptr receiver = m_processes[to];
+        if (!receiver || receiver->paused)
+            return;
+        const auto answered = receiver->table.receive(sender, heartbeat, m_time.now());
+        RC_ASSERT(!answered || *answered <= sentAt);
+    }
+
+    void check()
+    {
+        for (std::size_t observer = 0; observer < slots; ++observer) {
+            if (m_processes[observer] && !m_processes[observer]->paused)
+                checkView(observer);
+        }
+    }
+
+    void checkView(std::size_t observer)
+    {
+        const time_point now = m_time.now();
+        for (const member &each : m_processes[observer]->table.fresh(now)) {
+            const auto slot = static_cast<std::size_t>(each.vm.value().back() - '0');
+            if (slot == observer)
+                continue;
+            const bool current = m_processes[slot] && m_processes[slot]->table.self() == each;
+            RC_ASSERT(!current || now - m_canSend[observer][slot] <= 800ms);
+            RC_ASSERT(!current || now - m_canSend[slot][observer] <= 800ms);
+        }
+    }
+
+    static constexpr std::array steps{
+        &history::start,   &history::kill,  &history::pause, &history::resume, &history::leave,
+        &history::cut,     &history::cut,   &history::mend,  &history::mend,   &history::wait,
+        &history::disturb, &history::start, &history::start, &history::mend,
+    };
+
+    virtual_time m_time{};
+    std::minstd_rand m_random{1};
+    std::uint64_t m_started{0};
+    std::array<process_ptr, slots> m_processes{};
+    std::array<std::array<bool, slots>, slots> m_cut{};
+    std::array<std::array<time_point, slots>, slots> m_canSend{};
+    bool m_late{false};
+    bool m_lossy{false};
+    bool m_doubled{false};
+};
+
+const unsigned history::kinds = steps.size();
+
+rc::Gen<std::vector<command>> histories()
+{
+    const auto each =
+        rc::gen::build<command>(rc::gen::set(&command::kind, rc::gen::inRange(0U, history::kinds)),
+                                rc::gen::set(&command::first, rc::gen::inRange(0U, 4U)),
+                                rc::gen::set(&command::second, rc::gen::inRange(0U, 4U)),
+                                rc::gen::set(&command::waitMs, rc::gen::inRange(0U, 900U)));
+    constexpr int sizeFactor{50};
+    return rc::gen::scale(sizeFactor, rc::gen::container<std::vector<command>>(each));
+}
+
+class heartbeat_fuzz_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(heartbeat_fuzz_test);
+    CPPUNIT_TEST(freshMeansThatBothDirectionsWork);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void freshMeansThatBothDirectionsWork()
+    {
+        std::size_t commands = 0;
+        CPPUNIT_ASSERT(rc::check("a fresh member was asked and answered a short time ago", [&] {
+            const std::vector<command> steps = *histories();
+            history run;
+            for (const command &each : steps)
+                run.run(each);
+            run.finish();
+            commands += steps.size();
+        }));
+        std::cerr << commands << " commands\n";
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(heartbeat_fuzz_test);
+
+} // namespace
