Fleet planner: adoption, availability budgets, waves, zones, move orders

Cause: nothing kept VMs in pools or took them through maintenance. The fleet is one document, replaced by compare-and-swap on its own and the configuration's revision; each step of the planner is a pure function of documents, list of VMs, reports and its own monotonic memory.

Ruled out: a planner's lease in the store as a safety device (a paused holder writes after it has lapsed; the swap refuses that by itself); believing the list's phase for the end of a reboot (it lags: the boot id decides); timing drains by the wall clock of the document (clocks differ). The fuzz test found and this commit mends: a VM that crashed while probed was rebooted twice for one wave; memory of a dropped VM survived and let it serve unproved; a VM adopted in a zone that is out was drained unproved.

Conclusion: safety rests on the two compared revisions, which the document source has to compare in one transaction.

--- /dev/null
+++ b/src/azurelb/fleet/fleet_draft.cpp
@@ -0,0 +1,202 @@
+#include <azurelb/fleet/fleet_draft.hpp>
+
+#include <azurelb/wire/config.pb.h>
+#include <azurelb/wire/platform.pb.h>
+
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace {
+
+std::string toJson(const wire::fleet_vm &vm)
+{
+    std::string text;
+    (void)google::protobuf::util::MessageToJsonString(vm, &text);
+    return text;
+}
+
+} // namespace
+
+fleet_draft::fleet_draft(const plan_input &input, const fleet_options &options,
+                         planner_memory &memory)
+    : m_input{input}
+    , m_options{options}
+    , m_memory{memory}
+    , m_list{input.list}
+    , m_document{input.fleet}
+{
+    m_memory.observe(input, m_list);
+    for (const vm_observation &each : input.observations)
+        m_observations.emplace(each.vm.value(), &each);
+    for (const wire::pool &pool : input.config.pools()) {
+        if (counts().find(pool.name()).available == 0)
+            m_emptyPools.insert(pool.name());
+    }
+    indexVms();
+}
+
+void fleet_draft::indexVms()
+{
+    m_indexes.clear();
+    for (int index = 0; index < size(); ++index)
+        m_indexes.emplace(m_document.vms(index).id(), index);
+}
+
+wire::fleet_document &fleet_draft::change()
+{
+    m_isChanged = true;
+    m_counts.reset();
+    return m_document;
+}
+
+const availability &fleet_draft::counts()
+{
+    if (!m_counts)
+        m_counts.emplace(m_input.config, m_document, m_list);
+    return *m_counts;
+}
+
+wire::fleet_vm *fleet_draft::findVm(const std::string &vm)
+{
+    const auto found = m_indexes.find(vm);
+    return found == m_indexes.end() ? nullptr : &at(found->second);
+}
+
+wire::wave_progress *fleet_draft::findWave(const std::string &wave)
+{
+    auto &waves = *m_document.mutable_waves();
+    const auto found =
+        std::find_if(waves.begin(), waves.end(),
+                     [&wave](const wire::wave_progress &each) { return each.id() == wave; });
+    return found == waves.end() ? nullptr : &*found;
+}
+
+const wire::pool *fleet_draft::findPool(const std::string &name) const
+{
+    const auto &pools = m_input.config.pools();
+    const auto found = std::find_if(pools.begin(), pools.end(), [&name](const wire::pool &pool) {
+        return pool.name() == name;
+    });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+const wire::pool *fleet_draft::sparePool() const
+{
+    const auto &pools = m_input.config.pools();
+    const auto found = std::find_if(pools.begin(), pools.end(),
+                                    [](const wire::pool &pool) { return pool.spare(); });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+const vm_observation *fleet_draft::observation(const std::string &vm) const
+{
+    const auto found = m_observations.find(vm);
+    return found == m_observations.end() ? nullptr : found->second;
+}
+
+std::uint64_t fleet_draft::wallMs() const
+{
+    const auto sinceEpoch = m_input.wallNow.time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+bool fleet_draft::wasEmpty(const std::string &pool) const
+{
+    return m_emptyPools.contains(pool);
+}
+
+void fleet_draft::enter(wire::fleet_vm &vm, wire::vm_state state, std::string_view reason)
+{
+    (void)change();
+    vm.set_state(state);
+    vm.set_since_ms(wallMs());
+    vm.set_reason(std::string{reason});
+}
+
+void fleet_draft::enterPool(wire::fleet_vm &vm, const std::string &pool, std::string_view reason)
+{
+    change().add_recent_moves_ms(wallMs());
+    vm.set_pool(pool);
+    vm.clear_next_pool();
+    enter(vm, wire::VM_STATE_SERVING, reason);
+}
+
+void fleet_draft::adopt(const wire::listed_vm &listed, const std::string &pool,
+                        std::string_view reason)
+{
+    wire::fleet_vm &vm = *change().add_vms();
+    vm.set_id(listed.id());
+    vm.set_pool(pool);
+    vm.set_zone(listed.zone());
+    vm.set_rack(listed.rack());
+    vm.set_boot_id(listed.boot_id());
+    enter(vm, wire::VM_STATE_PROBING, reason);
+    m_indexes.emplace(vm.id(), size() - 1);
+}
+
+void fleet_draft::drop(const std::vector<std::string> &vms)
+{
+    if (vms.empty())
+        return;
+    const std::unordered_set<std::string_view> dropped{vms.begin(), vms.end()};
+    auto &all = *change().mutable_vms();
+    all.erase(
+        std::remove_if(all.begin(), all.end(),
+                       [&dropped](const wire::fleet_vm &vm) { return dropped.contains(vm.id()); }),
+        all.end());
+    indexVms();
+}
+
+void fleet_draft::record(std::string_view verb, const std::string &entity, std::string_view reason)
+{
+    wire::audit_record &added = m_step.records.emplace_back();
+    added.set_change_id(m_input.stepId + "-" + std::to_string(m_step.records.size()));
+    added.set_operator_name("planner");
+    added.set_committed_at_ms(wallMs());
+    added.set_verb(std::string{verb});
+    added.set_entity(entity);
+    added.set_reason(std::string{reason});
+}
+
+void fleet_draft::recordVm(const wire::fleet_vm *before, const wire::fleet_vm *after)
+{
+    const wire::fleet_vm &newest = after ? *after : *before;
+    record("plan", newest.id(), after ? after->reason() : "gone from the platform's list");
+    wire::audit_record &added = m_step.records.back();
+    if (before)
+        added.set_before(toJson(*before));
+    if (after)
+        added.set_after(toJson(*after));
+}
+
+void fleet_draft::recordVms()
+{
+    std::unordered_set<std::string_view> known;
+    for (const wire::fleet_vm &before : m_input.fleet.vms()) {
+        known.insert(before.id());
+        const wire::fleet_vm *after = findVm(before.id());
+        const bool isSame = after && after->state() == before.state()
+            && after->pool() == before.pool() && after->since_ms() == before.since_ms();
+        if (!isSame)
+            recordVm(&before, after);
+    }
+    for (const wire::fleet_vm &after : m_document.vms()) {
+        if (!known.contains(after.id()))
+            recordVm(nullptr, &after);
+    }
+}
+
+plan_step fleet_draft::finish()
+{
+    if (m_isChanged) {
+        recordVms();
+        m_document.set_config_revision(static_cast<std::int64_t>(m_input.configAt));
+        m_step.document = std::move(m_document);
+    }
+    return std::move(m_step);
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/fleet/moves.cpp
@@ -0,0 +1,99 @@
+#include <azurelb/fleet/fleet_draft.hpp>
+#include <azurelb/fleet/strategies.hpp>
+#include <azurelb/wire/config.pb.h>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace {
+
+/** A VM of the spare pool gets no work, so there is nothing to drain. */
+bool isIdle(fleet_draft &draft, const wire::fleet_vm &vm)
+{
+    const wire::pool *pool = draft.findPool(vm.pool());
+    const vm_observation *seen = draft.observation(vm.id());
+    return pool && pool->spare() && (!seen || seen->running.value_or(0) == 0);
+}
+
+bool mayLeaveSpare(fleet_draft &draft, const wire::fleet_vm &vm)
+{
+    const pool_count &count = draft.counts().find(vm.pool());
+    return draft.counts().isAvailable(vm) && count.available > count.pool->minimum_vms();
+}
+
+bool canLeave(fleet_draft &draft, const wire::fleet_vm &vm)
+{
+    return isHeldByZone(draft, vm)
+        || (draft.counts().isAvailable(vm) && draft.counts().canTakeOut(vm));
+}
+
+void followOrder(fleet_draft &draft, const wire::move_order &order)
+{
+    wire::fleet_vm *vm = draft.findVm(order.vm());
+    if (!vm || vm->order_generation() >= order.generation() || !draft.findPool(order.pool()))
+        return;
+    if (vm->pool() != order.pool()) {
+        const bool isMoving = vm->next_pool() == order.pool();
+        if (!isMoving)
+            (void)startMove(draft, *vm, order.pool(), "ordered by an operator");
+        return;
+    }
+    (void)draft.change();
+    vm->set_order_generation(order.generation());
+}
+
+} // namespace
+
+bool isHeldByZone(fleet_draft &draft, const wire::fleet_vm &vm)
+{
+    return vm.state() == wire::VM_STATE_PROBING && vm.wave().empty() && !vm.absent()
+        && draft.counts().isOut(vm.zone())
+        && draft.memory().timeHealthy(vm.id()) >= draft.options().probeTime;
+}
+
+bool startMove(fleet_draft &draft, wire::fleet_vm &vm, const std::string &pool,
+               std::string_view reason)
+{
+    if (isIdle(draft, vm)) {
+        const bool isAllowed = mayLeaveSpare(draft, vm);
+        if (isAllowed)
+            draft.enterPool(vm, pool, reason);
+        return isAllowed;
+    }
+    if (!canLeave(draft, vm))
+        return false;
+    vm.set_next_pool(pool);
+    draft.enter(vm, wire::VM_STATE_DRAINING, reason);
+    return true;
+}
+
+bool takeSpare(fleet_draft &draft, const std::string &pool, std::string_view reason)
+{
+    const wire::pool *spare = draft.sparePool();
+    if (!spare)
+        return false;
+    const auto &zones = draft.counts().find(pool).zones;
+    wire::fleet_vm *best = nullptr;
+    std::uint32_t bestMembers = 0;
+    for (int index = 0; index < draft.size(); ++index) {
+        wire::fleet_vm &vm = draft.at(index);
+        if (vm.pool() != spare->name() || !draft.counts().isAvailable(vm))
+            continue;
+        const auto zone = zones.find(vm.zone());
+        const std::uint32_t members = zone == zones.end() ? 0 : zone->second.available;
+        if (!best || members < bestMembers) {
+            best = &vm;
+            bestMembers = members;
+        }
+    }
+    return best && startMove(draft, *best, pool, reason);
+}
+
+void followOrders(fleet_draft &draft)
+{
+    for (const wire::move_order &order : draft.input().config.moves())
+        followOrder(draft, order);
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/fleet/plan_input.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <azurelb/config/fwd.hpp>
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/fleet/fwd.hpp>
+#include <azurelb/fleet/queue_demand.hpp>
+#include <azurelb/fleet/vm_observation.hpp>
+
+#include <span>
+#include <string>
+
+namespace azurelb {
+
+/** All that one planning step knows. The documents outlive the step. */
+struct plan_input
+{
+    const wire::config_document &config;
+    revision configAt{};
+    const wire::fleet_document &fleet;
+    const wire::vm_list &list;
+    /** When the list was asked for. */
+    time_point listedAt{};
+    std::span<const vm_observation> observations{};
+    std::span<const queue_demand> demand{};
+    time_point now{};
+    wall_time wallNow{};
+    /** Unique for each step of each process; it begins the ids of the audit records. */
+    std::string stepId{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/fleet/planner_memory.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <azurelb/core/fwd.hpp>
+#include <azurelb/fleet/fwd.hpp>
+#include <azurelb/wire/fleet.pb.h>
+
+#include <string>
+#include <unordered_map>
+
+namespace azurelb {
+
+/**
+ * What one planner has seen over its steps, by its own monotonic clock. It is never shared: another
+ * planner starts without it and waits longer, so every bound that must last at least its time does.
+ */
+class planner_memory
+{
+    using times = std::unordered_map<std::string, time_point>;
+
+public:
+    /** Notes the documents of a new step. */
+    void observe(const plan_input &input, const vm_index &list);
+
+    /**
+     * Time since this planner first saw the VM's present state; 0 if it has not seen it. A probing
+     * VM that is absent or whose zone is out counts as just seen.
+     */
+    [[nodiscard]] duration timeInState(const wire::fleet_vm &vm) const;
+
+    /** First moment at which this planner saw the VM's present state; the newest step if not. */
+    [[nodiscard]] time_point seenSince(const wire::fleet_vm &vm) const;
+
+    /** Time for which every list showed the VM as gone. */
+    [[nodiscard]] duration timeUnlisted(const std::string &vm) const;
+
+    /** Time for which the VM was listed as live and no probe of it failed. */
+    [[nodiscard]] duration timeHealthy(const std::string &vm) const;
+
+    /** True if a VM may return to the pool now, which is then noted. */
+    [[nodiscard]] bool takeReturn(const std::string &pool, duration interval);
+
+private:
+    struct seen_state
+    {
+        wire::vm_state state{};
+        std::uint64_t sinceMs{};
+        std::string pool{};
+        time_point at{};
+    };
+
+    void carry(times &into, const times &earlier, const std::string &vm) const;
+    [[nodiscard]] duration since(const times &all, const std::string &key) const;
+
+    time_point m_now{};
+    std::unordered_map<std::string, seen_state> m_states{};
+    times m_unlisted{};
+    times m_healthy{};
+    times m_returns{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/test/azurelb/fleet/fake_fleet.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <azurelb/fleet/plan_input.hpp>
+#include <azurelb/wire/config.pb.h>
+#include <azurelb/wire/fleet.pb.h>
+#include <azurelb/wire/platform.pb.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace azurelb::test {
+
+using std::chrono::seconds;
+
+/** Where one VM of the fake platform really is. */
+struct real_vm
+{
+    wire::listed_vm listed{};
+    bool isDead{false};
+    /** End of the reboot under way. */
+    time_point bootsUntil{};
+    /** When it stopped being up; only meaningful while it is not. */
+    time_point downSince{};
+    /** New work may reach it up to this moment, and it runs for the tail after that. */
+    time_point fedUntil{};
+    seconds tail{};
+    bool isRebootFailing{false};
+    bool isRebootIgnored{false};
+};
+
+/**
+ * The platform, the store and the daemons in one, under virtual time: a lagging list, VMs that die
+ * and reboot, documents replaced by compare-and-swap. Faults are set from outside.
+ */
+class fake_fleet
+{
+public:
+    explicit fake_fleet(seconds bootTime = seconds{30});
+
+    void addVm(const std::string &id, const std::string &zone, const std::string &rack);
+    wire::pool &addPool(const std::string &name, std::uint32_t minimum, std::uint32_t maximum,
+                        std::uint32_t unavailable, bool isSpare = false);
+
+    [[nodiscard]] bool isUp(const std::string &vm) const;
+    [[nodiscard]] bool isOut(const std::string &zone) const;
+    [[nodiscard]] bool isRunning(const real_vm &vm, time_point at) const;
+
+    void kill(const std::string &vm);
+    void revive(const std::string &vm);
+    /** The platform ends the VM; the list stops showing it. */
+    void remove(const std::string &vm);
+    /** Carries out an order to reboot. */
+    void reboot(const std::string &vm);
+    void setZone(const std::string &zone, bool isOut);
+
+    /** The list as it was the lag before now. */
+    [[nodiscard]] vm_list_ptr list(seconds lag) const;
+    /** Reports as daemons would give them, the lag before now. */
+    [[nodiscard]] std::vector<vm_observation> observe(seconds lag) const;
+
+    /** Replaces the fleet document if both revisions are still those given. */
+    bool commit(const wire::fleet_document &document, std::int64_t fleetAt, std::int64_t configAt);
+
+    /** Marks a change of the configuration. */
+    void touchConfig();
+
+    void advance(seconds time);
+
+    time_point now{seconds{100000}};
+    wire::config_document config{};
+    std::int64_t configRevision{1};
+    wire::fleet_document fleet{};
+    std::int64_t fleetRevision{1};
+    std::map<std::string, real_vm> vms{};
+    std::map<std::string, time_point> removedAt{};
+    /** Mechanisms that a test may switch off. */
+    bool comparesFleet{true};
+    bool comparesConfig{true};
+
+private:
+    struct snapshot
+    {
+        time_point at{};
+        vm_list_ptr list{};
+    };
+
+    void settle();
+    void feed();
+
+    seconds m_bootTime;
+    std::uint32_t m_boots{0};
+    std::deque<snapshot> m_lists{};
+};
+
+/** The wall clock that goes with the virtual time. */
+[[nodiscard]] wall_time wallAt(time_point at);
+
+[[nodiscard]] const wire::fleet_vm *findVm(const wire::fleet_document &fleet,
+                                           const std::string &vm);
+
+} // namespace azurelb::test
--- /dev/null
+++ b/test/azurelb/fleet/fleet_oracle.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "fake_fleet.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace azurelb::test {
+
+/** Judges every commit and every reboot by simple rules of its own; it knows no planner. */
+class fleet_oracle
+{
+public:
+    explicit fleet_oracle(const fake_fleet &world)
+        : m_world{world}
+    { }
+
+    /** Longest lag of any list that a planner may still plan with. */
+    seconds lag{18};
+
+    /** Call after a commit; planned is when the plan was made. Empty if all is well. */
+    [[nodiscard]] std::string judgeCommit(const wire::fleet_document &before, time_point planned);
+
+    /** Call after a step that had its way, with the list that it planned with. */
+    void noteList(const wire::vm_list &list);
+
+    /** Call before the platform carries out an order. */
+    [[nodiscard]] std::string judgeReboot(const std::string &vm);
+
+private:
+    [[nodiscard]] bool isKnownDown(const std::string &vm, time_point planned) const;
+    [[nodiscard]] bool isAvailable(const wire::fleet_vm &vm, time_point planned) const;
+    [[nodiscard]] std::string judgeVm(const wire::fleet_vm *before, const wire::fleet_vm &after);
+    [[nodiscard]] std::string judgeMove(const wire::fleet_vm &before, const wire::fleet_vm &after);
+    [[nodiscard]] std::string judgeBudgets(const wire::fleet_document &before,
+                                           time_point planned) const;
+
+    const fake_fleet &m_world;
+    std::map<std::string, time_point> m_drains{};
+    std::map<std::string, time_point> m_seenDown{};
+    std::set<std::pair<std::string, std::string>> m_reboots{};
+};
+
+} // namespace azurelb::test
--- /dev/null
+++ b/test/azurelb/fleet/planner_fuzz_test.cpp
@@ -0,0 +1,434 @@
+#include "fleet_oracle.hpp"
+
+#include <azurelb/fleet/broken_budget.hpp>
+#include <azurelb/fleet/planner.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <optional>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::test;
+
+constexpr std::size_t commandsInRun = 1000;
+constexpr seconds settleBound{6000};
+constexpr std::array zones{"z1", "z2", "z3", "z4"};
+
+struct command
+{
+    std::uint8_t kind{};
+    std::uint8_t first{};
+    std::uint8_t second{};
+};
+
+std::ostream &operator<<(std::ostream &out, const command &each)
+{
+    const bool isPlain = each.kind == 0 && each.first == 0 && each.second == 0;
+    if (isPlain)
+        return out << '-';
+    return out << int{each.kind} % 28 << '/' << int{each.first} << '/' << int{each.second};
+}
+
+struct held_plan
+{
+    plan_step step{};
+    vm_list_ptr list{};
+    std::int64_t fleetAt{};
+    std::int64_t configAt{};
+    time_point planned{};
+};
+
+struct late_order
+{
+    reboot_action order{};
+    time_point committed{};
+};
+
+struct daemon
+{
+    std::unique_ptr<planner> plans{};
+    seconds lag{};
+    std::optional<held_plan> held{};
+    /** The list that it still sees while its fetches fail, and when it was asked for. */
+    vm_list_ptr stuckList{};
+    time_point stuckSince{};
+};
+
+fleet_options fuzzOptions()
+{
+    fleet_options options;
+    options.probeTimeout = seconds{60};
+    options.drainBound = seconds{40};
+    options.rebootTimeout = seconds{150};
+    return options;
+}
+
+class fuzz_run
+{
+public:
+    fuzz_run()
+    {
+        m_world.addPool("a", 4, 8, 2);
+        m_world.addPool("b", 3, 6, 1);
+        m_world.addPool("spare", 1, 8, 2, true);
+        for (int index = 0; index < 16; ++index)
+            addVm();
+        m_world.advance(seconds{1});
+        for (const int lag : {1, 4, 8})
+            m_daemons.push_back({std::make_unique<planner>(m_options), seconds{lag}, {}});
+    }
+
+    void run(const command &each)
+    {
+        static constexpr std::array handlers{
+            &fuzz_run::advance,     &fuzz_run::advance,   &fuzz_run::step,
+            &fuzz_run::step,        &fuzz_run::step,      &fuzz_run::step,
+            &fuzz_run::hold,        &fuzz_run::release,   &fuzz_run::loseAnswer,
+            &fuzz_run::actLate,     &fuzz_run::actOnLate, &fuzz_run::kill,
+            &fuzz_run::revive,      &fuzz_run::revive,    &fuzz_run::killRack,
+            &fuzz_run::replace,     &fuzz_run::zoneOut,   &fuzz_run::zoneIn,
+            &fuzz_run::startWave,   &fuzz_run::stopWave,  &fuzz_run::failReboots,
+            &fuzz_run::mendReboots, &fuzz_run::orderMove, &fuzz_run::crash,
+            &fuzz_run::restart,     &fuzz_run::race,      &fuzz_run::race,
+            &fuzz_run::stickList};
+        (this->*handlers.at(each.kind % handlers.size()))(each);
+    }
+
+    /** Mends every fault and waits until all that was asked for is done. */
+    void settle()
+    {
+        mendPlatform();
+        m_daemons.front().stuckList = nullptr;
+        m_daemons.front().plans = std::make_unique<planner>(m_options);
+        const time_point last = m_world.now + settleBound;
+        while (!isSettled() && m_world.now < last) {
+            replaceBroken();
+            continueWaves();
+            step({0, 0, 0});
+            m_world.advance(seconds{2});
+        }
+        RC_ASSERT(isSettled());
+    }
+
+private:
+    void addVm()
+    {
+        const int index = m_added++;
+        const std::string zone = zones.at(index / 2 % zones.size());
+        const std::string id = "vm" + std::to_string(index);
+        m_world.addVm(id, zone, "rack" + std::to_string(index / 4 % 4));
+        m_world.vms.at(id).tail = seconds{index * 7 % 20};
+    }
+
+    [[nodiscard]] std::string vmAt(std::uint8_t index) const
+    {
+        return std::next(m_world.vms.begin(), index % static_cast<int>(m_world.vms.size()))->first;
+    }
+
+    [[nodiscard]] daemon &daemonAt(std::uint8_t index)
+    {
+        return m_daemons.at(index % m_daemons.size());
+    }
+
+    [[nodiscard]] held_plan plan(daemon &by)
+    {
+        const vm_list_ptr list = by.stuckList ? by.stuckList : m_world.list(by.lag);
+        const time_point listedAt = by.stuckList ? by.stuckSince : m_world.now;
+        const auto observed = m_world.observe(seconds{2});
+        held_plan made{{}, list, m_world.fleetRevision, m_world.configRevision, m_world.now};
+        made.step = by.plans->plan({m_world.config,
+                                    revision{m_world.configRevision},
+                                    m_world.fleet,
+                                    *list,
+                                    listedAt,
+                                    observed,
+                                    {},
+                                    m_world.now,
+                                    wallAt(m_world.now),
+                                    std::to_string(++m_steps)});
+        return made;
+    }
+
+    [[nodiscard]] bool commit(const held_plan &made)
+    {
+        if (!made.step.document)
+            return false;
+        const wire::fleet_document before = m_world.fleet;
+        if (!m_world.commit(*made.step.document, made.fleetAt, made.configAt))
+            return false;
+        expectNothing(m_oracle.judgeCommit(before, made.planned));
+        m_oracle.noteList(*made.list);
+        return true;
+    }
+
+    void expectNothing(const std::string &fault) const
+    {
+        if (!fault.empty())
+            RC_FAIL(fault);
+    }
+
+    void give(const late_order &late)
+    {
+        if (!isDue(late.committed, m_options, m_world.now))
+            return;
+        if (!m_world.vms.contains(late.order.vm.value()))
+            return;
+        expectNothing(m_oracle.judgeReboot(late.order.vm.value()));
+        m_world.reboot(late.order.vm.value());
+    }
+
+    void advance(const command &each) { m_world.advance(seconds{each.first % 6 + 1}); }
+
+    void step(const command &each)
+    {
+        const held_plan made = plan(daemonAt(each.first));
+        if (!commit(made))
+            return;
+        for (const reboot_action &order : made.step.reboots)
+            give({order, m_world.now});
+        m_world.advance(seconds{1});
+    }
+
+    /** A plan made before another daemon's step or an operator's change is committed after it. */
+    void race(const command &each)
+    {
+        hold(each);
+        if (each.second % 2 == 0)
+            zoneOut({0, each.second, 1});
+        else
+            step({0, static_cast<std::uint8_t>(each.first + 1), 0});
+        release(each);
+    }
+
+    void stickList(const command &each)
+    {
+        daemon &by = daemonAt(each.first);
+        by.stuckList = by.stuckList ? nullptr : m_world.list(by.lag);
+        by.stuckSince = m_world.now;
+    }
+
+    void hold(const command &each)
+    {
+        daemon &by = daemonAt(each.first);
+        by.held = plan(by);
+    }
+
+    void release(const command &each)
+    {
+        daemon &by = daemonAt(each.first);
+        if (by.held && commit(*by.held)) {
+            for (const reboot_action &order : by.held->step.reboots)
+                give({order, m_world.now});
+        }
+        by.held.reset();
+    }
+
+    void loseAnswer(const command &each) { (void)commit(plan(daemonAt(each.first))); }
+
+    void actLate(const command &each)
+    {
+        const held_plan made = plan(daemonAt(each.first));
+        if (!commit(made))
+            return;
+        for (const reboot_action &order : made.step.reboots)
+            m_late.push_back({order, m_world.now});
+    }
+
+    void actOnLate(const command &)
+    {
+        std::vector<late_order> late;
+        late.swap(m_late);
+        for (const late_order &each : late)
+            give(each);
+    }
+
+    void kill(const command &each) { m_world.kill(vmAt(each.first)); }
+    void revive(const command &each) { m_world.revive(vmAt(each.first)); }
+
+    void killRack(const command &each)
+    {
+        if (each.second % 8 != 0)
+            return;
+        const std::string rack = "rack" + std::to_string(each.first % 4);
+        for (const auto &[id, vm] : m_world.vms) {
+            if (vm.listed.rack() == rack)
+                m_world.kill(id);
+        }
+    }
+
+    void replace(const command &each)
+    {
+        m_world.remove(vmAt(each.first));
+        addVm();
+    }
+
+    void crash(const command &each)
+    {
+        m_world.kill(vmAt(each.first));
+        m_world.revive(vmAt(each.first));
+    }
+
+    void zoneOut(const command &each)
+    {
+        const std::string zone = zones.at(each.first % zones.size());
+        const auto broken =
+            checkZoneOut(m_world.config, m_world.fleet, *m_world.list(seconds{2}), zone_name{zone});
+        const bool isForced = each.second % 4 == 0;
+        if (broken.empty() || isForced)
+            m_world.setZone(zone, true);
+    }
+
+    void zoneIn(const command &each)
+    {
+        m_world.setZone(zones.at(each.first % zones.size()), false);
+    }
+
+    void startWave(const command &each)
+    {
+        if (m_world.config.waves_size() > 20)
+            return;
+        m_world.touchConfig();
+        wire::wave &wave = *m_world.config.add_waves();
+        wave.set_id("wave" + std::to_string(m_world.config.waves_size()));
+        wave.set_generation(m_world.config.generation());
+        wave.add_pools(each.first % 2 == 0 ? "a" : "b");
+        if (each.second % 2 == 0)
+            wave.add_pools("spare");
+    }
+
+    void stopWave(const command &each)
+    {
+        if (m_world.config.waves().empty() || each.second % 4 != 0)
+            return;
+        m_world.touchConfig();
+        m_world.config.mutable_waves(each.first % m_world.config.waves_size())->set_stopped(true);
+    }
+
+    void failReboots(const command &each)
+    {
+        m_world.vms.at(vmAt(each.first)).isRebootFailing = each.second % 2 == 0;
+        m_world.vms.at(vmAt(each.first)).isRebootIgnored = each.second % 2 != 0;
+    }
+
+    void mendReboots(const command &)
+    {
+        for (auto &[id, vm] : m_world.vms) {
+            vm.isRebootFailing = false;
+            vm.isRebootIgnored = false;
+        }
+    }
+
+    void orderMove(const command &each)
+    {
+        static constexpr std::array pools{"a", "b", "spare"};
+        m_world.touchConfig();
+        wire::move_order &order = *m_world.config.add_moves();
+        order.set_vm(vmAt(each.first));
+        order.set_pool(pools.at(each.second % pools.size()));
+        order.set_generation(m_world.config.generation());
+    }
+
+    void restart(const command &each)
+    {
+        daemonAt(each.first).plans = std::make_unique<planner>(m_options);
+        daemonAt(each.first).held.reset();
+    }
+
+    void mendPlatform()
+    {
+        mendReboots({});
+        for (const char *zone : zones)
+            m_world.setZone(zone, false);
+        for (const auto &each : m_world.vms)
+            m_world.revive(each.first);
+    }
+
+    void replaceBroken()
+    {
+        for (const wire::fleet_vm &vm : m_world.fleet.vms()) {
+            if (vm.state() != wire::VM_STATE_BROKEN || !m_world.vms.contains(vm.id()))
+                continue;
+            m_world.remove(vm.id());
+            addVm();
+        }
+    }
+
+    void continueWaves()
+    {
+        for (const wire::wave_progress &progress : m_world.fleet.waves()) {
+            if (progress.paused().empty())
+                continue;
+            m_world.touchConfig();
+            for (wire::wave &wave : *m_world.config.mutable_waves()) {
+                if (wave.id() == progress.id())
+                    wave.set_generation(m_world.config.generation());
+            }
+        }
+    }
+
+    [[nodiscard]] bool isWaveOver(const wire::wave &wave) const
+    {
+        if (wave.stopped())
+            return true;
+        for (const wire::wave_progress &progress : m_world.fleet.waves()) {
+            if (progress.id() == wave.id())
+                return progress.finished_ms() != 0;
+        }
+        return false;
+    }
+
+    [[nodiscard]] bool isSettled() const
+    {
+        const auto &vms = m_world.fleet.vms();
+        const auto &waves = m_world.config.waves();
+        const bool allServe = std::all_of(vms.begin(), vms.end(), [](const auto &vm) {
+            return vm.state() == wire::VM_STATE_SERVING && !vm.absent();
+        });
+        const bool allOver = std::all_of(waves.begin(), waves.end(),
+                                         [this](const auto &wave) { return isWaveOver(wave); });
+        return allServe && allOver && m_world.vms.size() == static_cast<std::size_t>(vms.size());
+    }
+
+    fleet_options m_options{fuzzOptions()};
+    fake_fleet m_world{};
+    fleet_oracle m_oracle{m_world};
+    std::vector<daemon> m_daemons{};
+    std::vector<late_order> m_late{};
+    int m_added{0};
+    int m_steps{0};
+};
+
+/** All values are equally likely, whatever the size of the test case. */
+rc::Gen<std::uint8_t> byteGenerator()
+{
+    return rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint8_t>());
+}
+
+class planner_fuzz_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(planner_fuzz_test);
+    CPPUNIT_TEST(holdsEveryPromise);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void holdsEveryPromise()
+    {
+        CPPUNIT_ASSERT(rc::check("planners hold budgets, pools and waves", [] {
+            const auto commands = *rc::gen::container<std::vector<command>>(
+                commandsInRun,
+                rc::gen::construct<command>(byteGenerator(), byteGenerator(), byteGenerator()));
+            fuzz_run run;
+            for (const command &each : commands)
+                run.run(each);
+            run.settle();
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(planner_fuzz_test);
+
+} // namespace
