--- a/src/azurelb/share/dispatcher.cpp
+++ b/src/azurelb/share/dispatcher.cpp
@@ -419,7 +419,6 @@
     recallForWaiting();
     m_isChanged = false;
     m_lastPlan = now;
-    return;
 }
 
 bool dispatcher::isDue(const daemon_state &daemon, time_point now) const
--- a/test/azurelb/limits/rights_fuzz_test.cpp
+++ b/test/azurelb/limits/rights_fuzz_test.cpp
@@ -175,9 +175,9 @@
     void resume(fake_daemon &daemon, const team_name &team, unsigned amount)
     {
         // A removed daemon comes back, if at all, after its work has ended.
-        if (daemon.paused && m_fleet.now - m_fleet.options.hold >= daemon.lostAt)
-            m_fleet.resume(daemon);
-        else if (daemon.paused && !m_fleet.departures.gone.contains(daemon.id))
+        const bool workEnded = m_fleet.now - m_fleet.options.hold >= daemon.lostAt;
+        const bool removed = m_fleet.departures.gone.contains(daemon.id);
+        if (daemon.paused && (workEnded || !removed))
             m_fleet.resume(daemon);
         m_fleet.advance(50ms);
         acquire(daemon, team, amount);
