--- a/test/support/run_until.hpp
+++ b/test/support/run_until.hpp
@@ -2,6 +2,7 @@
 
 #include "child_process.hpp"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -14,6 +15,7 @@
                             std::chrono::milliseconds limit = generousWait)
 {
     constexpr std::chrono::milliseconds step{5};
+    const auto work = boost::asio::make_work_guard(loop);
     const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!condition() && std::chrono::steady_clock::now() < deadline) {
         loop.restart();
