--- a/test/standin/listener.cpp
+++ b/test/standin/listener.cpp
@@ -5,8 +5,7 @@
 namespace azurelb::standin {
 
 listener::listener(asio::io_context &loop, const tcp::endpoint &address, accept_handler accepted)
-    : m_loop{loop}
-    , m_acceptor{loop}
+    : m_acceptor{loop}
     , m_address{address}
     , m_accepted{std::move(accepted)}
 {
--- a/test/standin/listener.hpp
+++ b/test/standin/listener.hpp
@@ -24,7 +24,6 @@
     void bind();
     void accept();
 
-    asio::io_context &m_loop;
     tcp::acceptor m_acceptor;
     tcp::endpoint m_address;
     accept_handler m_accepted;
