--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -15,6 +15,9 @@
     shutdown_began = 102,
     shutdown_ended = 103,
     daemon_failed = 104,
+    dispatcher_changed = 500,
+    circuit_opened = 501,
+    circuit_closed = 502,
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -13,6 +13,9 @@
     {event::shutdown_began, severity::info, "shutdown_began"},
     {event::shutdown_ended, severity::info, "shutdown_ended"},
     {event::daemon_failed, severity::error, "daemon_failed"},
+    {event::dispatcher_changed, severity::info, "dispatcher_changed"},
+    {event::circuit_opened, severity::warning, "circuit_opened"},
+    {event::circuit_closed, severity::info, "circuit_closed"},
 };
 
 constexpr bool ascending(const event_entry &left, const event_entry &right) noexcept
--- /dev/null
+++ b/src/azurelb/share/dispatcher.cpp
@@ -0,0 +1,505 @@
+#include <azurelb/share/dispatcher.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurelb {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Sequence of a slot that no assignment holds yet. */
+constexpr std::uint64_t notSent{UINT64_MAX};
+/** A daemon not heard of for this time gets no slots. */
+constexpr duration longestSilence{500ms};
+/** Longest step of the accounts, should the dispatcher have been paused. */
+constexpr duration longestStep{50ms};
+/** Time within which a daemon's part below one slot is made good, and the most that is owed. */
+constexpr double lagWindowSeconds{0.2};
+constexpr double mostLag{0.3};
+/** Advantage of the daemon that holds a slot when parts of slots are rounded. */
+constexpr double holdingBonus{0.3};
+
+[[nodiscard]] double toSeconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+[[nodiscard]] std::uint64_t added(std::uint64_t now, std::uint64_t before) noexcept
+{
+    return now >= before ? now - before : now;
+}
+
+} // namespace
+
+dispatcher::dispatcher(const share_options &options, std::uint64_t firstSlot,
+                       std::uint64_t firstSequence, time_point now)
+    : m_options{options}
+    , m_plan{options}
+    , m_nextSlot{firstSlot}
+    , m_sequence{firstSequence}
+    , m_startedAt{now}
+{ }
+
+void dispatcher::setMembers(std::span<const member> members)
+{
+    m_members.assign(members.begin(), members.end());
+    m_isChanged = true;
+}
+
+void dispatcher::setUpstreams(std::span<const upstream_vm> eligible)
+{
+    for (auto &[vm, each] : m_upstreams)
+        each.isEligible = false;
+    for (const upstream_vm &vm : eligible) {
+        upstream_state &each = m_upstreams[vm.vm];
+        each.vm = vm;
+        each.isEligible = true;
+    }
+    m_isChanged = true;
+}
+
+dispatcher::daemon_state &dispatcher::findDaemon(const member &from, time_point now)
+{
+    const auto found = std::find_if(m_daemons.begin(), m_daemons.end(),
+                                    [&from](const daemon_state &each) { return each.id == from; });
+    if (found != m_daemons.end())
+        return *found;
+    m_daemons.emplace_back();
+    m_daemons.back().id = from;
+    m_daemons.back().lastHeard = now;
+    m_plan.emplace();
+    return m_daemons.back();
+}
+
+void dispatcher::restart(daemon_state &daemon, std::uint64_t term)
+{
+    daemon.term = term;
+    daemon.reportSequence = 0;
+    daemon.acknowledged = 0;
+    daemon.querySequence = 0;
+    daemon.isSynchronised = false;
+    daemon.lastSent = {};
+    daemon.slots.clear();
+}
+
+void dispatcher::takeSlots(daemon_state &daemon, const slot_report &report)
+{
+    const auto isReturned = [&report](const slot_state &slot) {
+        return slot.sequence <= report.acknowledged
+            && std::none_of(report.slots.begin(), report.slots.end(),
+                            [&slot](const held_slot &held) { return held.id == slot.id; });
+    };
+    std::erase_if(daemon.slots, isReturned);
+    for (const held_slot &held : report.slots) {
+        const auto known = std::find_if(daemon.slots.begin(), daemon.slots.end(),
+                                        [&held](const slot_state &s) { return s.id == held.id; });
+        if (known != daemon.slots.end()) {
+            known->isBusy = held.isBusy;
+            continue;
+        }
+        upstream_state &upstream = m_upstreams[held.vm];
+        upstream.vm.vm = held.vm;
+        daemon.slots.push_back({held.id, &upstream, 0, true, held.isBusy});
+    }
+}
+
+void dispatcher::takeOutcomes(daemon_state &daemon, const slot_report &report, time_point now)
+{
+    for (const outcome_count &count : report.outcomes) {
+        auto known = std::find_if(daemon.outcomes.begin(), daemon.outcomes.end(),
+                                  [&count](const outcome_count &c) { return c.vm == count.vm; });
+        if (known == daemon.outcomes.end())
+            known = daemon.outcomes.insert(known, {count.vm});
+        const outcome_count change{count.vm, added(count.answered, known->answered),
+                                   added(count.failed, known->failed),
+                                   added(count.refused, known->refused)};
+        *known = count;
+        const auto upstream = m_upstreams.find(count.vm);
+        if (upstream != m_upstreams.end())
+            upstream->second.health.record(change, now);
+    }
+}
+
+void dispatcher::apply(const member &from, const slot_report &report, time_point now)
+{
+    daemon_state &daemon = findDaemon(from, now);
+    if (report.term < daemon.term)
+        return;
+    if (report.term > daemon.term)
+        restart(daemon, report.term);
+    if (report.sequence <= daemon.reportSequence)
+        return;
+    daemon.reportSequence = report.sequence;
+    daemon.reportSentAt = report.sentAt;
+    daemon.lastHeard = now;
+    daemon.acknowledged = std::max(daemon.acknowledged, report.acknowledged);
+    daemon.isSynchronised = daemon.querySequence > 0 && daemon.acknowledged >= daemon.querySequence;
+    daemon.isReplyDue = daemon.isReplyDue || report.isReplyWanted;
+    daemon.avoid = {report.avoid.begin(), report.avoid.end()};
+    takeSlots(daemon, report);
+    takeOutcomes(daemon, report, now);
+    m_plan.setLoad(static_cast<size_type>(&daemon - m_daemons.data()), report.teams);
+    m_isChanged = true;
+}
+
+bool dispatcher::isSilent(const daemon_state &daemon, time_point now) const noexcept
+{
+    return now - daemon.lastHeard > longestSilence;
+}
+
+bool dispatcher::isMember(const member &id) const noexcept
+{
+    return std::find(m_members.begin(), m_members.end(), id) != m_members.end();
+}
+
+void dispatcher::removeSilent(time_point now)
+{
+    const duration longest = m_options.leaseTime + m_options.runHold;
+    for (size_type index = m_daemons.size(); index-- > 0;) {
+        if (now - m_daemons[index].lastHeard <= longest)
+            continue;
+        m_daemons.erase(m_daemons.begin() + static_cast<std::ptrdiff_t>(index));
+        m_plan.erase(index);
+    }
+}
+
+bool dispatcher::isReady(time_point now)
+{
+    if (m_isReady)
+        return true;
+    const auto isKnown = [this](const member &id) {
+        return std::any_of(m_daemons.begin(), m_daemons.end(), [&id](const daemon_state &each) {
+            return each.id == id && each.isSynchronised;
+        });
+    };
+    m_isReady = std::all_of(m_members.begin(), m_members.end(), isKnown)
+        || now - m_startedAt >= m_options.gathering;
+    return m_isReady;
+}
+
+void dispatcher::count(time_point now)
+{
+    for (auto &[vm, each] : m_upstreams) {
+        const std::uint32_t slots = each.vm.slots;
+        const std::uint32_t healthy =
+            m_options.isBreaking ? each.health.allowed(slots, now) : slots;
+        each.capacity = each.isEligible ? healthy : 0;
+        each.held = 0;
+        each.assigned = 0;
+    }
+    for (const daemon_state &daemon : m_daemons) {
+        for (const slot_state &slot : daemon.slots) {
+            ++slot.upstream->held;
+            slot.upstream->assigned += slot.isAssigned ? 1 : 0;
+        }
+    }
+    std::erase_if(m_upstreams, [](const auto &entry) {
+        return !entry.second.isEligible && entry.second.held == 0;
+    });
+}
+
+void dispatcher::markPresent(time_point now)
+{
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        const bool isGone = isSilent(m_daemons[index], now);
+        if (isGone)
+            m_plan.setLoad(index, {});
+        m_plan.setSpare(index, !isGone && isMember(m_daemons[index].id));
+    }
+}
+
+double dispatcher::usableCapacity(time_point now) const
+{
+    double usable = 0;
+    for (const auto &[vm, each] : m_upstreams)
+        usable += each.capacity;
+    for (const daemon_state &daemon : m_daemons) {
+        if (isSilent(daemon, now))
+            usable -= static_cast<double>(daemon.slots.size());
+    }
+    return std::max(usable, 0.0);
+}
+
+void dispatcher::recall(slot_state &slot, daemon_state &daemon)
+{
+    slot.isAssigned = false;
+    --slot.upstream->assigned;
+    daemon.isUrgent = true;
+}
+
+void dispatcher::recallFrom(upstream_state &upstream, bool isBusy)
+{
+    for (daemon_state &daemon : m_daemons) {
+        for (slot_state &slot : daemon.slots) {
+            if (upstream.assigned <= upstream.capacity)
+                return;
+            if (slot.upstream == &upstream && slot.isAssigned && slot.isBusy == isBusy)
+                recall(slot, daemon);
+        }
+    }
+}
+
+void dispatcher::recallExcess()
+{
+    for (auto &[vm, each] : m_upstreams) {
+        recallFrom(each, false);
+        recallFrom(each, true);
+    }
+}
+
+dispatcher::size_type dispatcher::assigned(const daemon_state &daemon) noexcept
+{
+    return static_cast<size_type>(
+        std::count_if(daemon.slots.begin(), daemon.slots.end(),
+                      [](const slot_state &slot) { return slot.isAssigned; }));
+}
+
+double dispatcher::missing(const daemon_state &daemon) noexcept
+{
+    return daemon.wanted - static_cast<double>(assigned(daemon));
+}
+
+void dispatcher::setWanted(time_point now)
+{
+    const double step = toSeconds(std::min<duration>(now - m_lastPlan, longestStep));
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        daemon_state &daemon = m_daemons[index];
+        const double target = m_plan.find(index).slots;
+        const double behind = target - static_cast<double>(assigned(daemon));
+        daemon.lag =
+            m_plan.isContended() ? std::clamp(daemon.lag + behind * step, -mostLag, mostLag) : 0;
+        const double change = std::clamp(daemon.lag / lagWindowSeconds, -1.0, 1.0);
+        daemon.wanted = std::max(target + change, 0.0);
+    }
+    round();
+}
+
+void dispatcher::round()
+{
+    double total = 0;
+    double whole = 0;
+    std::vector<std::pair<double, daemon_state *>> parts;
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        daemon_state &daemon = m_daemons[index];
+        const double floor = std::floor(daemon.wanted);
+        const bool isHolding = static_cast<double>(assigned(daemon)) > floor;
+        parts.emplace_back(daemon.wanted - floor + (isHolding ? holdingBonus : 0), &daemon);
+        total += m_plan.find(index).slots;
+        whole += floor;
+        daemon.wanted = floor;
+    }
+    std::sort(parts.begin(), parts.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    double rest = std::floor(total + 0.5) - whole;
+    for (auto part = parts.begin(); part != parts.end() && rest >= 1; ++part, --rest)
+        ++part->second->wanted;
+    for (auto part = parts.rbegin(); part != parts.rend() && rest <= -1; ++part) {
+        if (part->second->wanted < 1)
+            continue;
+        --part->second->wanted;
+        ++rest;
+    }
+}
+
+std::uint32_t dispatcher::heldOf(const daemon_state &daemon,
+                                 const upstream_state &upstream) noexcept
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(daemon.slots.begin(), daemon.slots.end(),
+                      [&upstream](const slot_state &s) { return s.upstream == &upstream; }));
+}
+
+dispatcher::upstream_state *dispatcher::choose(const daemon_state &daemon, bool isAvoiding)
+{
+    upstream_state *best = nullptr;
+    std::uint32_t fewest = m_options.slotsPerDaemon;
+    for (auto &[vm, each] : m_upstreams) {
+        if (each.held >= each.capacity || (isAvoiding && daemon.avoid.contains(vm)))
+            continue;
+        const std::uint32_t held = heldOf(daemon, each);
+        const bool isFreer =
+            best && held == fewest && each.capacity - each.held > best->capacity - best->held;
+        if (held < fewest || isFreer) {
+            best = &each;
+            fewest = held;
+        }
+    }
+    return best;
+}
+
+bool dispatcher::assignOne(daemon_state &daemon)
+{
+    upstream_state *upstream = choose(daemon, true);
+    if (!upstream)
+        upstream = choose(daemon, false);
+    if (!upstream)
+        return false;
+    daemon.slots.push_back({slot_id{m_nextSlot++}, upstream, notSent, true, false});
+    daemon.isUrgent = true;
+    ++upstream->held;
+    ++upstream->assigned;
+    return true;
+}
+
+void dispatcher::assignFree()
+{
+    std::vector<daemon_state *> open;
+    for (daemon_state &daemon : m_daemons) {
+        if (daemon.isSynchronised && missing(daemon) > 0)
+            open.push_back(&daemon);
+    }
+    while (!open.empty()) {
+        const auto most = std::max_element(open.begin(), open.end(),
+                                           [](const daemon_state *left, const daemon_state *right) {
+                                               return missing(*left) < missing(*right);
+                                           });
+        if (missing(**most) <= 0)
+            return;
+        if (!assignOne(**most))
+            open.erase(most);
+    }
+}
+
+double dispatcher::shortage() const
+{
+    double sum = 0;
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        const daemon_state &daemon = m_daemons[index];
+        const double least = m_plan.isWaiting(index) ? 1 : 2;
+        if (daemon.isSynchronised && missing(daemon) >= least)
+            sum += missing(daemon) - least + 1;
+    }
+    for (const auto &[vm, each] : m_upstreams)
+        sum -= std::max(std::min(each.held, each.capacity), each.assigned) - each.assigned;
+    return sum;
+}
+
+bool dispatcher::recallOne(daemon_state &daemon)
+{
+    slot_state *found = nullptr;
+    for (slot_state &slot : daemon.slots) {
+        if (slot.isAssigned && (!found || (found->isBusy && !slot.isBusy)))
+            found = &slot;
+    }
+    if (!found)
+        return false;
+    recall(*found, daemon);
+    return true;
+}
+
+void dispatcher::recallForWaiting()
+{
+    for (double needed = shortage(); needed >= 1; --needed) {
+        const auto most = std::min_element(m_daemons.begin(), m_daemons.end(),
+                                           [](const daemon_state &left, const daemon_state &right) {
+                                               return missing(left) < missing(right);
+                                           });
+        if (most == m_daemons.end() || missing(*most) > -1 || !recallOne(*most))
+            return;
+    }
+}
+
+void dispatcher::updatePlan(time_point now)
+{
+    const duration least = m_isChanged ? m_options.coalescing : m_options.routine;
+    if (now - m_lastPlan < least)
+        return;
+    removeSilent(now);
+    markPresent(now);
+    count(now);
+    if (!isReady(now))
+        return;
+    m_plan.compute(usableCapacity(now));
+    recallExcess();
+    setWanted(now);
+    assignFree();
+    recallForWaiting();
+    m_isChanged = false;
+    m_lastPlan = now;
+    return;
+}
+
+bool dispatcher::isDue(const daemon_state &daemon, time_point now) const
+{
+    const duration since = now - daemon.lastSent;
+    if (!daemon.isSynchronised)
+        return since >= m_options.retransmission;
+    const bool isUnacknowledged = daemon.changedSequence > daemon.acknowledged;
+    const bool isUrgent = daemon.isUrgent || daemon.wasContended != m_plan.isContended();
+    return (isUrgent && since >= m_options.coalescing)
+        || (daemon.isReplyDue && since >= m_options.routine)
+        || ((isUnacknowledged || m_plan.isContended()) && since >= m_options.retransmission)
+        || since >= m_options.heartbeat;
+}
+
+slot_assignment dispatcher::makeAssignment(size_type index, time_point now)
+{
+    daemon_state &daemon = m_daemons[index];
+    slot_assignment made;
+    made.term = daemon.term;
+    made.sequence = ++m_sequence;
+    made.acknowledged = daemon.reportSequence;
+    made.reportSentAt = daemon.reportSentAt;
+    made.isQuery = !daemon.isSynchronised;
+    daemon.lastSent = now;
+    if (made.isQuery) {
+        if (daemon.querySequence == 0)
+            daemon.querySequence = made.sequence;
+        return made;
+    }
+    made.isContended = m_plan.isContended();
+    made.weights = m_plan.find(index).weights;
+    for (slot_state &slot : daemon.slots) {
+        slot.sequence = std::min(slot.sequence, made.sequence);
+        if (slot.isAssigned)
+            made.slots.push_back({slot.id, slot.upstream->vm.vm});
+    }
+    if (daemon.isUrgent || daemon.changedSequence > daemon.acknowledged)
+        daemon.changedSequence = made.sequence;
+    daemon.isUrgent = false;
+    daemon.isReplyDue = false;
+    daemon.wasContended = made.isContended;
+    return made;
+}
+
+std::vector<addressed_assignment> dispatcher::poll(time_point now)
+{
+    updatePlan(now);
+    std::vector<addressed_assignment> due;
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        const daemon_state &daemon = m_daemons[index];
+        if (isSilent(daemon, now) || !isDue(daemon, now))
+            continue;
+        if (daemon.isSynchronised && !m_isReady)
+            continue;
+        due.push_back({daemon.id, makeAssignment(index, now)});
+    }
+    return due;
+}
+
+dispatcher::size_type dispatcher::openCircuits() const
+{
+    return static_cast<size_type>(
+        std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                      [](const auto &entry) { return entry.second.health.isOpen(); }));
+}
+
+dispatcher::size_type dispatcher::held() const
+{
+    size_type sum = 0;
+    for (const daemon_state &daemon : m_daemons)
+        sum += daemon.slots.size();
+    return sum;
+}
+
+dispatcher::size_type dispatcher::capacity() const
+{
+    size_type sum = 0;
+    for (const auto &[vm, each] : m_upstreams)
+        sum += each.capacity;
+    return sum;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/share/dispatcher.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <azurelb/share/circuit.hpp>
+#include <azurelb/share/dispatch_plan.hpp>
+#include <azurelb/upstream/upstream_vm.hpp>
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace azurelb {
+
+/**
+ * Assigns the executor slots of one pool to the daemons. All of its state comes from the daemons'
+ * reports, so that any daemon can take over: a new dispatcher asks all daemons for a report and
+ * assigns nothing before they have answered or a bound has passed.
+ */
+class dispatcher
+{
+    struct upstream_state
+    {
+        upstream_vm vm{};
+        bool isEligible{};
+        circuit health{};
+        std::uint32_t capacity{};
+        /** Slots assigned or not returned yet, and those of them that are not recalled. */
+        std::uint32_t held{};
+        std::uint32_t assigned{};
+    };
+
+    struct slot_state
+    {
+        slot_id id{};
+        upstream_state *upstream{};
+        /** The first assignment that holds it; 0 if the slot was reported. */
+        std::uint64_t sequence{};
+        bool isAssigned{true};
+        bool isBusy{};
+    };
+
+    struct daemon_state
+    {
+        member id{};
+        std::uint64_t term{};
+        std::uint64_t reportSequence{};
+        std::chrono::microseconds reportSentAt{};
+        std::uint64_t acknowledged{};
+        /** The query that makes earlier assignments void. */
+        std::uint64_t querySequence{};
+        bool isSynchronised{};
+        bool isReplyDue{};
+        bool isUrgent{};
+        bool wasContended{};
+        std::uint64_t changedSequence{};
+        time_point lastHeard{};
+        time_point lastSent{};
+        std::vector<slot_state> slots{};
+        std::set<vm_id> avoid{};
+        std::vector<outcome_count> outcomes{};
+        /** Slot seconds that the daemon holds less than its target. */
+        double lag{};
+        double wanted{};
+    };
+
+    using size_type = std::size_t;
+
+    daemon_state &findDaemon(const member &from, time_point now);
+    void restart(daemon_state &daemon, std::uint64_t term);
+    void takeSlots(daemon_state &daemon, const slot_report &report);
+    void takeOutcomes(daemon_state &daemon, const slot_report &report, time_point now);
+    void removeSilent(time_point now);
+    [[nodiscard]] bool isReady(time_point now);
+    void count(time_point now);
+    void markPresent(time_point now);
+    [[nodiscard]] double usableCapacity(time_point now) const;
+    void updatePlan(time_point now);
+    void recallExcess();
+    void setWanted(time_point now);
+    void round();
+    void recall(slot_state &slot, daemon_state &daemon);
+    void recallFrom(upstream_state &upstream, bool isBusy);
+    [[nodiscard]] static double missing(const daemon_state &daemon) noexcept;
+    [[nodiscard]] double shortage() const;
+    [[nodiscard]] bool isSilent(const daemon_state &daemon, time_point now) const noexcept;
+    [[nodiscard]] bool isMember(const member &id) const noexcept;
+    void assignFree();
+    bool assignOne(daemon_state &daemon);
+    void recallForWaiting();
+    bool recallOne(daemon_state &daemon);
+    [[nodiscard]] upstream_state *choose(const daemon_state &daemon, bool isAvoiding);
+    [[nodiscard]] static std::uint32_t heldOf(const daemon_state &daemon,
+                                              const upstream_state &upstream) noexcept;
+    [[nodiscard]] static size_type assigned(const daemon_state &daemon) noexcept;
+    [[nodiscard]] bool isDue(const daemon_state &daemon, time_point now) const;
+    [[nodiscard]] slot_assignment makeAssignment(size_type index, time_point now);
+
+public:
+    /**
+     * The ids of slots and the sequences of assignments begin at the numbers given. Slot ids must
+     * differ over the fleet; sequences must exceed those of earlier dispatchers of the process.
+     */
+    dispatcher(const share_options &options, std::uint64_t firstSlot, std::uint64_t firstSequence,
+               time_point now);
+
+    /** Daemons that are alive; those not heard of are asked to report. */
+    void setMembers(std::span<const member> members);
+
+    /** Upstreams that may get new work. */
+    void setUpstreams(std::span<const upstream_vm> eligible);
+
+    void setShares(std::span<const team_share> shares) { m_plan.setShares(shares); }
+
+    /** Takes the report of one daemon. */
+    void apply(const member &from, const slot_report &report, time_point now);
+
+    /** Assigns and recalls slots and returns the assignments to send now. */
+    [[nodiscard]] std::vector<addressed_assignment> poll(time_point now);
+
+    /** True if reports have come in that the assignments do not reflect yet. */
+    [[nodiscard]] bool isPending() const noexcept { return m_isChanged; }
+
+    /** Upstreams that the circuits let no more than single requests through to. */
+    [[nodiscard]] size_type openCircuits() const;
+
+    /** Slots that are assigned or not returned yet. */
+    [[nodiscard]] size_type held() const;
+
+    /** Slots that may be assigned. */
+    [[nodiscard]] size_type capacity() const;
+
+    [[nodiscard]] const dispatch_plan &plan() const noexcept { return m_plan; }
+
+private:
+    const share_options &m_options;
+    dispatch_plan m_plan;
+    std::vector<daemon_state> m_daemons{};
+    std::map<vm_id, upstream_state> m_upstreams{};
+    std::vector<member> m_members{};
+    std::uint64_t m_nextSlot;
+    std::uint64_t m_sequence;
+    time_point m_startedAt;
+    time_point m_lastPlan{};
+    bool m_isReady{false};
+    bool m_isChanged{true};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/share/fair_queue.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <azurelb/share/share_options.hpp>
+#include <azurelb/share/slot_report.hpp>
+#include <azurelb/share/slot_request.hpp>
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * The requests that wait at one daemon for one pool, in order of arrival for each team, and
+ * start-time fair queueing between the teams (Goyal, Vin and Cheng, 1996) by slot time used. The
+ * weights come from the dispatcher, so that the daemons together keep the shares of the fleet.
+ */
+class fair_queue
+{
+    struct ticket
+    {
+        ticket_id id{};
+        time_point deadline{};
+        std::set<vm_id> avoid{};
+    };
+
+    struct team_state
+    {
+        team_name team{};
+        std::list<ticket> waiting{};
+        std::uint32_t backed{};
+        std::uint32_t running{};
+        std::int64_t demand{};
+        double weight{1};
+        double virtualTime{};
+        duration used{};
+        duration startedSum{};
+        duration meanRun{};
+    };
+
+    struct position
+    {
+        team_state *team{};
+        std::list<ticket>::iterator at{};
+    };
+
+    [[nodiscard]] team_state &findTeam(const team_name &team);
+    [[nodiscard]] bool takeRight(team_state &team);
+    void erase(team_state &team, std::list<ticket>::iterator at);
+    void balanceRights(team_state &team);
+
+public:
+    using size_type = std::size_t;
+
+    /** A waiting request whose turn has come. */
+    struct started
+    {
+        ticket_id id{};
+        team_name team{};
+        time_point deadline{};
+    };
+
+    /** Tells whether a request that must avoid these upstreams can run now. */
+    using predicate = std::function<bool(const std::set<vm_id> &)>;
+
+    fair_queue(const share_options &options, right_ledger &rights);
+    fair_queue(const fair_queue &) = delete;
+    fair_queue &operator=(const fair_queue &) = delete;
+    ~fair_queue();
+
+    /** Adds a request. False if too many of its team wait. */
+    [[nodiscard]] bool emplace(ticket_id id, const slot_request &wanted);
+
+    /** Removes a waiting request; false if there is none of that name. */
+    bool erase(ticket_id id);
+
+    /** Takes the next request that can run, and its right, out of the queue. */
+    [[nodiscard]] std::optional<started> pop(const predicate &canRun, time_point now);
+
+    /** Ends the run of a request that pop() returned, and gives back its right. */
+    void finish(const team_name &team, duration run, time_point startedAt);
+
+    /** Takes rights for as many waiting requests as the bounds allow. */
+    void acquireRights();
+
+    /** Gives up the right of a waiting request of the team; false if none holds one. */
+    [[nodiscard]] bool yieldRight(const team_name &team);
+
+    /** Sets the weights; a team that is missing gets a small one. */
+    void setWeights(std::span<const team_weight> weights);
+
+    /** Removes the requests whose deadline has come. */
+    [[nodiscard]] std::vector<ticket_id> expire(time_point now);
+
+    /** Removes all requests. */
+    [[nodiscard]] std::vector<ticket_id> clear();
+
+    /** Expected wait of another request of the team; 0 while there is nothing to tell it from. */
+    [[nodiscard]] duration expectedWait(const team_name &team) const;
+
+    /** Expected time of one run; 0 if none has ended yet. */
+    [[nodiscard]] duration meanRun() const noexcept { return m_meanRun; }
+
+    /** State of every team that waits, runs or has used slot time. */
+    [[nodiscard]] std::vector<team_load> loads(time_point now) const;
+
+    /** Upstreams avoided by the first waiting request that holds a right and avoids any. */
+    [[nodiscard]] const std::set<vm_id> *avoided() const;
+
+    [[nodiscard]] size_type waiting() const noexcept { return m_index.size(); }
+
+    /** Waiting requests that hold a right. */
+    [[nodiscard]] size_type backed() const noexcept;
+
+private:
+    const share_options &m_options;
+    right_ledger &m_rights;
+    std::unordered_map<team_name, std::unique_ptr<team_state>> m_teams{};
+    std::unordered_map<ticket_id, position> m_index{};
+    std::vector<team_state *> m_candidates{};
+    double m_virtualTime{0};
+    duration m_meanRun{};
+};
+
+} // namespace azurelb
--- a/src/azurelb/share/fwd.hpp
+++ b/src/azurelb/share/fwd.hpp
@@ -11,11 +11,34 @@
 /** Names one use of an executor slot; unique over the fleet. */
 enum class lease_id : std::uint64_t {};
 
+/** Names one assignment of an executor slot to a daemon; unique over the fleet, never reused. */
+enum class slot_id : std::uint64_t {};
+
 struct slot_request;
 struct slot_lease;
 enum class slot_refusal;
 struct slot_grant;
+struct share_options;
+struct claim;
+struct team_load;
+struct held_slot;
+struct outcome_count;
+struct slot_report;
+struct assigned_slot;
+struct team_weight;
+struct team_share;
+struct slot_assignment;
+struct addressed_assignment;
+struct ticket_grant;
+class circuit;
+class dispatch_plan;
+class dispatcher;
+class fair_queue;
+class right_ledger;
+class slot_holder;
+class lease_client;
 class slot_service;
+class dispatched_slot_service;
 
 using slot_handler = std::function<void(const slot_grant &)>;
 
--- /dev/null
+++ b/src/azurelb/share/lease_client.cpp
@@ -0,0 +1,229 @@
+#include <azurelb/share/lease_client.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azurelb {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration shortestRest{20ms};
+constexpr duration longestRest{1s};
+
+[[nodiscard]] std::chrono::microseconds toMicroseconds(time_point at)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch());
+}
+
+} // namespace
+
+lease_client::lease_client(const share_options &options, right_ledger &rights,
+                           std::uint64_t firstLease)
+    : m_options{options}
+    , m_queue{options, rights}
+    , m_nextLease{firstLease}
+{ }
+
+void lease_client::refuse(ticket_id ticket, slot_refusal refusal, duration retryAfter)
+{
+    slot_grant grant;
+    grant.refusal = refusal;
+    grant.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(retryAfter);
+    m_grants.push_back({ticket, std::move(grant)});
+}
+
+void lease_client::refuseAll(slot_refusal refusal)
+{
+    for (const ticket_id ticket : m_queue.clear())
+        refuse(ticket, refusal, m_queue.meanRun());
+}
+
+void lease_client::request(ticket_id ticket, const slot_request &wanted, time_point now)
+{
+    m_isChanged = true;
+    if (m_isStopping)
+        return refuse(ticket, slot_refusal::stopping);
+    const duration wait = m_isContended ? m_queue.expectedWait(wanted.team) : duration{};
+    const duration left = wanted.deadline - now;
+    if (left <= wait)
+        return refuse(ticket, slot_refusal::late, std::max(wait - left, m_queue.meanRun()));
+    if (!m_queue.emplace(ticket, wanted))
+        refuse(ticket, slot_refusal::full, m_queue.expectedWait(wanted.team));
+}
+
+bool lease_client::cancel(ticket_id ticket)
+{
+    m_isChanged = true;
+    return m_queue.erase(ticket);
+}
+
+time_point lease_client::restUntil(const lease_state &lease, attempt_outcome outcome,
+                                   time_point now) const
+{
+    if (!m_options.isBreaking)
+        return now;
+    if (outcome == attempt_outcome::refused)
+        return now + shortestRest;
+    if (outcome != attempt_outcome::failed)
+        return now;
+    const duration usual = std::min(m_queue.meanRun(), longestRest);
+    return std::max(lease.startedAt + usual, now + shortestRest);
+}
+
+bool lease_client::release(lease_id id, attempt_outcome outcome, time_point now)
+{
+    const auto found = m_leases.find(id);
+    if (found == m_leases.end())
+        return false;
+    const lease_state lease = found->second;
+    m_leases.erase(found);
+    const time_point rest = restUntil(lease, outcome, now);
+    m_slots.finish(lease.slot, outcome, now, rest, m_sequence + 1);
+    m_queue.finish(lease.team, now - lease.startedAt, lease.startedAt);
+    m_isChanged = true;
+    if (outcome == attempt_outcome::failed || outcome == attempt_outcome::refused)
+        markUrgent();
+    if (!m_options.isReusing && m_slots.drop(lease.slot))
+        markUrgent();
+    return true;
+}
+
+void lease_client::setUpstreams(std::span<const upstream_vm> eligible, time_point now)
+{
+    m_slots.setUpstreams(eligible);
+    if (!eligible.empty())
+        m_withoutUpstream = time_point::max();
+    else
+        m_withoutUpstream = std::min(m_withoutUpstream, now);
+}
+
+void lease_client::changeDispatcher()
+{
+    ++m_term;
+    m_applied = 0;
+    m_acknowledged = 0;
+    markUrgent();
+}
+
+void lease_client::apply(const slot_assignment &assignment, time_point now)
+{
+    if (assignment.term != m_term || assignment.sequence <= m_applied)
+        return;
+    m_applied = assignment.sequence;
+    m_acknowledged = std::max(m_acknowledged, assignment.acknowledged);
+    const time_point sentAt{assignment.reportSentAt};
+    m_startUntil = std::max(m_startUntil, sentAt + m_options.leaseTime);
+    if (assignment.isQuery) {
+        markUrgent();
+        return;
+    }
+    m_isContended = assignment.isContended;
+    m_queue.setWeights(assignment.weights);
+    if (m_slots.assign(assignment.slots))
+        markUrgent();
+    poll(now);
+}
+
+bool lease_client::mayStart(time_point now) const noexcept
+{
+    return m_isConfirmed && now < m_startUntil;
+}
+
+bool lease_client::startNext(time_point now)
+{
+    std::set<vm_id> avoid;
+    const auto canRun = [this, now, &avoid](const std::set<vm_id> &avoided) {
+        avoid = avoided;
+        return m_slots.canStart(avoid, now);
+    };
+    const auto next = m_queue.pop(canRun, now);
+    if (!next)
+        return false;
+    slot_id slot{};
+    const upstream_vm *upstream = m_slots.start(avoid, now, slot);
+    const lease_id id{m_nextLease++};
+    m_leases.emplace(id, lease_state{slot, next->team, now});
+    slot_grant grant;
+    grant.lease = id;
+    grant.upstream = *upstream;
+    m_grants.push_back({next->id, std::move(grant)});
+    m_isChanged = true;
+    return true;
+}
+
+void lease_client::returnIdle(time_point now)
+{
+    bool dropped = m_slots.dropRecalled();
+    if (m_queue.backed() == 0) {
+        dropped = (m_isContended && m_slots.dropIdle(now)) || dropped;
+    } else if (const auto *avoided = m_queue.avoided(); avoided && mayStart(now)) {
+        dropped = m_slots.dropIdle(*avoided) || dropped;
+    }
+    if (dropped)
+        markUrgent();
+}
+
+void lease_client::expire(time_point now)
+{
+    if (now - m_lastExpiry < m_options.coalescing)
+        return;
+    m_lastExpiry = now;
+    const slot_refusal reason = m_isConfirmed ? slot_refusal::late : slot_refusal::unconfirmed;
+    for (const ticket_id ticket : m_queue.expire(now))
+        refuse(ticket, reason, m_queue.meanRun());
+    if (m_withoutUpstream != time_point::max()
+        && now - m_withoutUpstream >= m_options.noUpstreamGrace)
+        refuseAll(slot_refusal::no_upstream);
+}
+
+void lease_client::poll(time_point now)
+{
+    expire(now);
+    while (m_queue.waiting() > 0 && mayStart(now) && startNext(now)) {
+    }
+    returnIdle(now);
+    const bool isWaiting = m_queue.backed() > 0;
+    if (isWaiting != m_wasWaiting)
+        markUrgent();
+    m_wasWaiting = isWaiting;
+}
+
+std::vector<ticket_grant> lease_client::takeGrants()
+{
+    return std::exchange(m_grants, {});
+}
+
+bool lease_client::isReportDue(time_point now) const noexcept
+{
+    const duration since = now - m_lastReport;
+    const bool isUnanswered = m_replyWanted > m_acknowledged;
+    return (m_isUrgent && since >= m_options.coalescing)
+        || (m_isChanged && since >= m_options.routine)
+        || (isUnanswered && since >= m_options.retransmission) || since >= m_options.heartbeat;
+}
+
+std::optional<slot_report> lease_client::takeReport(time_point now)
+{
+    if (!isReportDue(now))
+        return std::nullopt;
+    slot_report report;
+    report.term = m_term;
+    report.sequence = ++m_sequence;
+    report.acknowledged = m_applied;
+    report.sentAt = toMicroseconds(now);
+    report.isReplyWanted = m_isUrgent || m_replyWanted > m_acknowledged;
+    report.teams = m_queue.loads(now);
+    m_slots.fill(report, m_acknowledged);
+    if (const auto *avoided = m_queue.avoided())
+        report.avoid.assign(avoided->begin(), avoided->end());
+    if (m_isUrgent || m_replyWanted > m_acknowledged)
+        m_replyWanted = m_sequence;
+    m_isUrgent = false;
+    m_isChanged = false;
+    m_lastReport = now;
+    return report;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/share/share_metrics.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <azurelb/core/identifier.hpp>
+#include <azurelb/metrics/fwd.hpp>
+#include <azurelb/share/slot_grant.hpp>
+
+#include <chrono>
+#include <map>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+} // namespace prometheus
+
+namespace azurelb {
+
+/** Metrics of the dispatching of one pool, as seen by one daemon. */
+class share_metrics
+{
+public:
+    share_metrics(metrics &registry, const pool_name &pool);
+
+    /** Counts a grant or a refusal by its reason. */
+    void count(const slot_grant &grant);
+
+    /** Counts that the pool's dispatcher is another one. */
+    void countMove();
+
+    /** Sets the state of this daemon. */
+    void setClient(std::size_t waiting, std::size_t held, std::size_t busy);
+
+    /** Sets the slot time that the team has used at this daemon. */
+    void setUsed(const team_name &team, std::chrono::microseconds used);
+
+    /** Sets the state of the pool; 0 on a daemon that does not dispatch it. */
+    void setDispatcher(std::size_t held, std::size_t capacity, std::size_t openCircuits);
+
+private:
+    metrics &m_registry;
+    std::string m_pool;
+    prometheus::Counter &m_granted;
+    prometheus::Counter &m_moves;
+    prometheus::Gauge &m_waiting;
+    prometheus::Gauge &m_held;
+    prometheus::Gauge &m_busy;
+    prometheus::Gauge &m_assigned;
+    prometheus::Gauge &m_capacity;
+    prometheus::Gauge &m_openCircuits;
+    std::map<slot_refusal, prometheus::Counter *> m_refused{};
+    std::map<team_name, prometheus::Gauge *> m_used{};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/share/ticket_grant.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <azurelb/share/slot_grant.hpp>
+
+namespace azurelb {
+
+/** What became of a waiting request. */
+struct ticket_grant
+{
+    ticket_id ticket{};
+    slot_grant grant{};
+};
+
+} // namespace azurelb
