--- a/src/azurelb/share/fair_queue.cpp
+++ b/src/azurelb/share/fair_queue.cpp
@@ -133,9 +133,10 @@
         const auto end = team->waiting.size() > mostTried
             ? std::next(team->waiting.begin(), mostTried)
             : team->waiting.end();
-        const auto found = std::find_if(team->waiting.begin(), end, [&canRun](const ticket &each) {
-            return canRun(each.avoid);
-        });
+        const auto found =
+            std::find_if(team->waiting.begin(), end, [&canRun, now](const ticket &each) {
+                return each.deadline > now && canRun(each.avoid);
+            });
         if (found == end || !takeRight(*team))
             continue;
         started next{found->id, team->team, found->deadline};
--- a/src/azurelb/share/lease_client.cpp
+++ b/src/azurelb/share/lease_client.cpp
@@ -156,8 +156,9 @@
 void lease_client::returnIdle(time_point now)
 {
     bool dropped = m_slots.dropRecalled();
-    if (m_queue.backed() == 0) {
-        dropped = (m_isContended && m_slots.dropIdle(now)) || dropped;
+    if (!m_isConfirmed || m_queue.backed() == 0) {
+        const bool isWanted = m_isConfirmed && !m_isContended;
+        dropped = (!isWanted && m_slots.dropIdle(now)) || dropped;
     } else if (const auto *avoided = m_queue.avoided(); avoided && mayStart(now)) {
         dropped = m_slots.dropIdle(*avoided) || dropped;
     }
@@ -184,7 +185,7 @@
     while (m_queue.waiting() > 0 && mayStart(now) && startNext(now)) {
     }
     returnIdle(now);
-    const bool isWaiting = m_queue.backed() > 0;
+    const bool isWaiting = m_isConfirmed && m_queue.backed() > 0;
     if (isWaiting != m_wasWaiting)
         markUrgent();
     m_wasWaiting = isWaiting;
@@ -215,6 +216,10 @@
     report.sentAt = toMicroseconds(now);
     report.isReplyWanted = m_isUrgent || m_replyWanted > m_acknowledged;
     report.teams = m_queue.loads(now);
+    for (team_load &load : report.teams) {
+        load.backed = m_isConfirmed ? load.backed : 0;
+        load.waiting = m_isConfirmed ? load.waiting : 0;
+    }
     m_slots.fill(report, m_acknowledged);
     if (const auto *avoided = m_queue.avoided())
         report.avoid.assign(avoided->begin(), avoided->end());
--- /dev/null
+++ b/test/azurelb/share/dispatching_fuzz_test.cpp
@@ -0,0 +1,235 @@
+#include "virtual_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::testing;
+using namespace std::chrono_literals;
+
+constexpr std::size_t daemons{4};
+constexpr std::size_t upstreams{4};
+constexpr std::uint32_t slots{8};
+/** A change of dispatcher may exceed the slots for this long: leases lapse, runs end. */
+constexpr duration settling{3s};
+/** A slot is idle no longer than this while a request that may run waits. */
+constexpr duration longestIdle{100ms};
+
+const char *const teams[]{"a", "b", "c"};
+const char *const zoneNames[]{"milano", "bergamo", "verona", "trento"};
+
+/** One step: the index of its kind and two numbers that the kind reads as it likes. */
+struct command
+{
+    std::size_t kind{};
+    std::uint32_t first{};
+    std::uint32_t second{};
+};
+
+std::ostream &operator<<(std::ostream &out, const command &each)
+{
+    return out << each.kind << '(' << each.first << ',' << each.second << ')';
+}
+
+/** A virtual fleet, and what it has to keep to whatever happens. */
+class checked_fleet
+{
+    using handler = void (checked_fleet::*)(std::uint32_t, std::uint32_t);
+
+    void ask(std::uint32_t at, std::uint32_t count)
+    {
+        for (std::uint32_t done = 0; done < 1 + count % 8; ++done) {
+            if (m_fleet.isAlive(at % daemons))
+                m_fleet.ask(at % daemons, team_name{teams[(at + count) % 3]}, 1500ms);
+        }
+    }
+
+    void askAvoiding(std::uint32_t at, std::uint32_t upstream)
+    {
+        if (m_fleet.isAlive(at % daemons))
+            m_fleet.ask(at % daemons, team_name{teams[0]}, 1500ms,
+                        {vm_id{"executor-" + std::to_string(upstream % upstreams)}});
+    }
+
+    void wait(std::uint32_t first, std::uint32_t)
+    {
+        m_fleet.advance(std::chrono::milliseconds{first % 60});
+    }
+
+    void cancel(std::uint32_t part, std::uint32_t) { m_fleet.cancelWaiting(0.01 * (part % 100)); }
+
+    void kill(std::uint32_t at, std::uint32_t)
+    {
+        std::size_t alive = 0;
+        for (std::size_t index = 0; index < daemons; ++index)
+            alive += m_fleet.isAlive(index) ? 1 : 0;
+        if (alive < 2 || !m_fleet.isAlive(at % daemons))
+            return;
+        m_fleet.kill(at % daemons);
+        disturb();
+    }
+
+    void replace(std::uint32_t at, std::uint32_t)
+    {
+        m_fleet.replace(at % daemons);
+        disturb();
+    }
+
+    void pause(std::uint32_t at, std::uint32_t span)
+    {
+        if (!m_fleet.isAlive(at % daemons))
+            return;
+        m_fleet.pause(at % daemons, std::chrono::milliseconds{50 * (span % 100)});
+        m_disturbedUntil =
+            std::max(m_disturbedUntil, m_fleet.now() + 50ms * (span % 100) + settling);
+    }
+
+    void setNetwork(std::uint32_t kind, std::uint32_t jitter)
+    {
+        const double loss = kind % 3 == 0 ? 0.2 : 0;
+        m_fleet.setDelay(std::chrono::milliseconds{jitter % 30}, loss, kind % 2 == 0 ? 0.2 : 0);
+        m_isNetworkBad = loss > 0 || jitter % 30 > 0;
+        disturb();
+    }
+
+    void setZone(std::uint32_t zone, std::uint32_t isIn)
+    {
+        m_fleet.setEligible(zone_name{zoneNames[zone % 2]}, isIn % 2 == 0);
+        disturb();
+    }
+
+    void setFailing(std::uint32_t upstream, std::uint32_t isFailing)
+    {
+        m_fleet.setFailing(upstream % upstreams, isFailing % 2 == 0);
+        disturb();
+    }
+
+    void setBound(std::uint32_t at, std::uint32_t bound)
+    {
+        for (const char *team : teams)
+            m_fleet.limits(at % daemons).setBound(team_name{team}, 4 + bound % 30);
+        disturb();
+    }
+
+    void setConfirmed(std::uint32_t at, std::uint32_t isConfirmed)
+    {
+        if (m_fleet.isAlive(at % daemons))
+            m_fleet.setConfirmed(at % daemons, isConfirmed % 4 != 0);
+        disturb();
+    }
+
+    void disturb() { m_disturbedUntil = std::max(m_disturbedUntil, m_fleet.now() + settling); }
+
+public:
+    static constexpr handler handlers[]{
+        &checked_fleet::ask,         &checked_fleet::ask,         &checked_fleet::ask,
+        &checked_fleet::ask,         &checked_fleet::askAvoiding, &checked_fleet::wait,
+        &checked_fleet::wait,        &checked_fleet::wait,        &checked_fleet::wait,
+        &checked_fleet::wait,        &checked_fleet::wait,        &checked_fleet::wait,
+        &checked_fleet::cancel,      &checked_fleet::kill,        &checked_fleet::replace,
+        &checked_fleet::replace,     &checked_fleet::pause,       &checked_fleet::setNetwork,
+        &checked_fleet::setZone,     &checked_fleet::setFailing,  &checked_fleet::setBound,
+        &checked_fleet::setConfirmed};
+
+    explicit checked_fleet(fleet_options options)
+        : m_fleet{std::move(options)}
+    {
+        disturb();
+    }
+
+    void apply(const command &each)
+    {
+        m_fleet.resetPeaks();
+        (this->*handlers[each.kind])(each.first, each.second);
+        check();
+    }
+
+    void check()
+    {
+        RC_ASSERT(m_fleet.doubled() == 0U);
+        RC_ASSERT(m_fleet.balancesRights());
+        if (m_fleet.now() > m_fleet.dispatcherSince() + settling)
+            RC_ASSERT(m_fleet.mostRunning() <= slots);
+        if (m_fleet.now() > m_disturbedUntil + 2 * longestIdle && !m_isNetworkBad)
+            RC_ASSERT(m_fleet.longestIdle() <= longestIdle);
+    }
+
+    /** Mends everything; then all requests have ended, and all slots serve again. */
+    void finish()
+    {
+        for (std::uint32_t at = 0; at < daemons; ++at) {
+            m_fleet.replace(at);
+            m_fleet.setConfirmed(at, true);
+            setBound(at, 25);
+            setFailing(at, 1);
+            setZone(at, 0);
+        }
+        setNetwork(1, 0);
+        m_fleet.advance(12s);
+        RC_ASSERT(m_fleet.open() == 0U);
+        RC_ASSERT(m_fleet.busy() == 0U);
+        RC_ASSERT(m_fleet.balancesRights());
+        m_fleet.resetPeaks();
+        for (std::uint32_t round = 0; round < 20; ++round) {
+            m_fleet.advance(20ms);
+            for (std::uint32_t at = 0; at < 12 * daemons; ++at)
+                ask(at, 7);
+            m_fleet.advance(20ms);
+        }
+        RC_ASSERT(m_fleet.findDispatcher()->capacity() == std::size_t{slots * upstreams});
+        RC_ASSERT(m_fleet.busy() >= std::size_t{slots * upstreams} - 2);
+        check();
+    }
+
+private:
+    virtual_fleet m_fleet;
+    time_point m_disturbedUntil{};
+    bool m_isNetworkBad{false};
+};
+
+/** Most commands in one case; rapidcheck runs 100 cases unless RC_PARAMS says otherwise. */
+constexpr int mostCommands{1200};
+
+[[nodiscard]] fleet_options smallFleet(std::uint64_t seed)
+{
+    fleet_options options;
+    options.daemons = daemons;
+    options.upstreams = upstreams;
+    options.slots = slots;
+    options.meanRun = 30ms;
+    options.seed = seed;
+    options.shares = {{team_name{"a"}, 5}, {team_name{"b"}, 3}, {team_name{"c"}, 1}};
+    return options;
+}
+
+class dispatching_fuzz_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(dispatching_fuzz_test);
+    CPPUNIT_TEST(keepsSlotsAndTickets);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void keepsSlotsAndTickets()
+    {
+        CPPUNIT_ASSERT(rc::check("slots and tickets under faults", [](std::uint64_t seed) {
+            const auto one = rc::gen::construct<command>(
+                rc::gen::inRange<std::size_t>(0, std::size(checked_fleet::handlers)),
+                rc::gen::inRange<std::uint32_t>(0, 1000),
+                rc::gen::inRange<std::uint32_t>(0, 1000));
+            const auto commands
+                = *rc::gen::resize(mostCommands, rc::gen::container<std::vector<command>>(one));
+            checked_fleet fleet{smallFleet(seed)};
+            for (const command &each : commands)
+                fleet.apply(each);
+            fleet.finish();
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatching_fuzz_test);
+
+} // namespace
--- /dev/null
+++ b/test/azurelb/share/virtual_fleet.cpp
@@ -0,0 +1,525 @@
+#include "virtual_fleet.hpp"
+
+#include <azurelb/core/rendezvous.hpp>
+
+#include <algorithm>
+
+namespace azurelb::testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string poolName{"pool"};
+const char *const zones[]{"milano", "bergamo", "verona", "trento"};
+
+[[nodiscard]] double toSeconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+[[nodiscard]] duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+virtual_fleet::virtual_fleet(fleet_options options)
+    : m_options{std::move(options)}
+    , m_random{m_options.seed}
+{
+    for (std::size_t index = 0; index < m_options.upstreams; ++index) {
+        executor added;
+        added.vm.vm = vm_id{"executor-" + std::to_string(index)};
+        added.vm.zone = zone_name{zones[index % std::size(zones)]};
+        added.vm.slots = m_options.slots;
+        m_executors.push_back(added);
+    }
+    m_daemons.resize(m_options.daemons);
+    m_isFresh.assign(m_options.daemons, true);
+    for (std::size_t index = 0; index < m_daemons.size(); ++index)
+        startDaemon(index, m_nextProcess++);
+    if (!m_options.isStatic)
+        refreshMembership();
+    tick();
+}
+
+void virtual_fleet::startDaemon(std::size_t index, std::uint64_t process)
+{
+    daemon &started = m_daemons[index];
+    started = {};
+    started.id = {vm_id{"entry-" + std::to_string(index)}, incarnation{process}};
+    started.limits = std::make_unique<mock_limits>();
+    started.rights = std::make_unique<right_ledger>(*started.limits);
+    started.client =
+        std::make_unique<lease_client>(m_options.share, *started.rights, process << 32U);
+    started.client->setUpstreams(eligible(), m_now);
+}
+
+std::vector<upstream_vm> virtual_fleet::eligible() const
+{
+    std::vector<upstream_vm> all;
+    for (const executor &each : m_executors) {
+        if (each.isEligible)
+            all.push_back(each.vm);
+    }
+    return all;
+}
+
+void virtual_fleet::schedule(time_point at, std::function<void()> action)
+{
+    m_events.push({at, m_order++, std::move(action)});
+}
+
+void virtual_fleet::scheduleAt(std::size_t index, time_point at, std::function<void()> action)
+{
+    const incarnation process = m_daemons[index].id.id;
+    schedule(at, [this, index, process, action = std::move(action)] {
+        daemon &to = m_daemons[index];
+        if (!to.isAlive || to.id.id != process)
+            return;
+        if (to.pausedUntil > m_now)
+            return scheduleAt(index, to.pausedUntil, action);
+        action();
+    });
+}
+
+void virtual_fleet::advance(duration span)
+{
+    const time_point until = m_now + span;
+    while (!m_events.empty() && m_events.top().at <= until) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.action();
+    }
+    m_now = until;
+}
+
+double virtual_fleet::draw()
+{
+    return std::uniform_real_distribution<double>{0, 1}(m_random);
+}
+
+duration virtual_fleet::drawRun()
+{
+    const double mean = toSeconds(m_options.meanRun);
+    if (m_options.isLongTailed)
+        return fromSeconds(std::exponential_distribution<double>{1 / mean}(m_random));
+    return fromSeconds(mean * (0.5 + draw()));
+}
+
+std::size_t virtual_fleet::addLoad(load added)
+{
+    m_loads.push_back(std::move(added));
+    const std::size_t index = m_loads.size() - 1;
+    schedule(m_now, [this, index] { arrive(index); });
+    return index;
+}
+
+void virtual_fleet::arrive(std::size_t index)
+{
+    const load &from = m_loads[index];
+    if (from.perSecond <= 0)
+        return schedule(m_now + 10ms, [this, index] { arrive(index); });
+    const double gap = std::exponential_distribution<double>{from.perSecond}(m_random);
+    schedule(m_now + fromSeconds(gap), [this, index] { arrive(index); });
+    if (m_daemons[from.daemon].isAlive)
+        ask(from.daemon, from.team, from.deadline);
+}
+
+ticket_id virtual_fleet::ask(std::size_t index, const team_name &team,
+                             std::chrono::milliseconds deadline, std::set<vm_id> avoid)
+{
+    const ticket_id ticket{m_nextTicket++};
+    ++m_figures[team].asked;
+    m_daemons[index].tickets[ticket] = {team, m_now, false};
+    const slot_request wanted{queue_name{"queue"}, team, m_now + deadline, std::move(avoid)};
+    scheduleAt(index, m_now, [this, index, ticket, wanted] {
+        m_daemons[index].client->request(ticket, wanted, m_now);
+        flush(index);
+    });
+    return ticket;
+}
+
+void virtual_fleet::cancelWaiting(double part)
+{
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        daemon &at = m_daemons[index];
+        if (!at.isAlive || at.pausedUntil > m_now)
+            continue;
+        for (auto &[id, ticket] : at.tickets) {
+            if (ticket.isEnded || draw() >= part || !at.client->cancel(id))
+                continue;
+            ticket.isEnded = true;
+            ++m_figures[ticket.team].cancelled;
+        }
+        flush(index);
+    }
+}
+
+void virtual_fleet::tick()
+{
+    schedule(m_now + 1ms, [this] { tick(); });
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        daemon &at = m_daemons[index];
+        if (at.isAlive && at.pausedUntil <= m_now)
+            flush(index);
+        const bool isGone = !at.isAlive || at.pausedUntil > m_now + m_options.detection;
+        if (!isGone && !m_isFresh[index]) {
+            m_isFresh[index] = true;
+            refreshMembership();
+        }
+    }
+    measureIdle();
+}
+
+void virtual_fleet::measureIdle()
+{
+    const dispatcher *owner = findDispatcher();
+    const std::uint64_t slots = owner ? owner->capacity() : 0;
+    std::uint64_t waiting = 0;
+    for (const daemon &each : m_daemons)
+        waiting += each.isAlive ? each.client->queue().backed() : 0;
+    const std::uint64_t used = busy();
+    const std::uint64_t idle = slots > used ? slots - used : 0;
+    m_idleSeconds += 0.001 * static_cast<double>(std::min(idle, waiting));
+    m_idleFor = idle > 0 && waiting > 0 ? m_idleFor + 1ms : duration{};
+    m_longestIdle = std::max(m_longestIdle, m_idleFor);
+}
+
+void virtual_fleet::flushStatic(daemon &at)
+{
+    const auto index = static_cast<std::size_t>(&at - m_daemons.data());
+    slot_assignment fixed;
+    fixed.term = 1;
+    fixed.sequence = ++at.staticSequence;
+    fixed.reportSentAt =
+        std::chrono::duration_cast<std::chrono::microseconds>(m_now.time_since_epoch());
+    std::uint64_t id = 1;
+    for (const executor &each : m_executors) {
+        for (std::uint32_t slot = 0; slot < each.vm.slots; ++slot, ++id) {
+            if (id % m_daemons.size() == index && each.isEligible)
+                fixed.slots.push_back({slot_id{id}, each.vm.vm});
+        }
+    }
+    for (const team_share &each : m_options.shares)
+        fixed.weights.push_back({each.team, static_cast<double>(each.share)});
+    at.client->apply(fixed, m_now);
+}
+
+void virtual_fleet::flush(std::size_t index)
+{
+    daemon &at = m_daemons[index];
+    if (m_options.isStatic)
+        flushStatic(at);
+    at.client->poll(m_now);
+    for (const ticket_grant &granted : at.client->takeGrants())
+        run(index, granted);
+    if (const auto report = at.client->takeReport(m_now); report && !m_options.isStatic)
+        sendReport(index, *report);
+    if (at.owned) {
+        for (const addressed_assignment &made : at.owned->poll(m_now))
+            sendAssignment(index, made);
+    }
+    at.rights->flush();
+}
+
+void virtual_fleet::run(std::size_t index, const ticket_grant &granted)
+{
+    ticket_state &ticket = m_daemons[index].tickets[granted.ticket];
+    m_doubled += ticket.isEnded ? 1 : 0;
+    ticket.isEnded = true;
+    if (granted.grant.refusal != slot_refusal::none) {
+        ++m_figures[ticket.team].refused;
+        return;
+    }
+    m_waits.push_back(
+        std::chrono::duration_cast<std::chrono::microseconds>(m_now - ticket.askedAt));
+    const vm_id &vm = granted.grant.upstream.vm;
+    const auto found = std::find_if(m_executors.begin(), m_executors.end(),
+                                    [&vm](const executor &each) { return each.vm.vm == vm; });
+    const auto upstream = static_cast<std::size_t>(found - m_executors.begin());
+    const duration span = found->isFailing ? duration{1ms} : drawRun();
+    const lease_id lease = granted.grant.lease;
+    const team_name team = ticket.team;
+    ++found->attempts;
+    schedule(m_now + m_options.delay, [this, upstream] {
+        m_mostRunning = std::max(m_mostRunning, ++m_executors[upstream].running);
+    });
+    schedule(m_now + m_options.delay + span, [this, upstream, team, span] {
+        --m_executors[upstream].running;
+        m_figures[team].usedSeconds += toSeconds(span);
+    });
+    scheduleAt(
+        index, m_now + 2 * m_options.delay + span,
+        [this, index, lease, team, upstream, span] { end(index, lease, team, upstream, span); });
+}
+
+void virtual_fleet::end(std::size_t index, lease_id lease, const team_name &team,
+                        std::size_t upstream, duration span)
+{
+    const bool isFailed = span == 1ms && m_executors[upstream].isFailing;
+    team_figures &figures = m_figures[team];
+    ++(isFailed ? figures.failed : figures.answered);
+    m_daemons[index].client->release(
+        lease, isFailed ? attempt_outcome::failed : attempt_outcome::answered, m_now);
+    flush(index);
+}
+
+void virtual_fleet::transmit(std::size_t from, std::size_t to, std::function<void()> action)
+{
+    if (from == to)
+        return action();
+    ++m_messages;
+    if (draw() < m_options.loss)
+        return;
+    const int copies = draw() < m_options.repetition ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        const duration extra = fromSeconds(toSeconds(m_options.jitter) * draw());
+        scheduleAt(to, m_now + m_options.delay + extra, action);
+    }
+}
+
+void virtual_fleet::sendReport(std::size_t from, const slot_report &report)
+{
+    const std::optional<member> owner = m_daemons[from].owner;
+    const member sender = m_daemons[from].id;
+    for (std::size_t to = 0; to < m_daemons.size(); ++to) {
+        if (owner != m_daemons[to].id)
+            continue;
+        transmit(from, to, [this, to, sender, report] {
+            if (!m_daemons[to].owned)
+                return;
+            m_daemons[to].owned->apply(sender, report, m_now);
+            scheduleAt(to, m_now, [this, to] { flush(to); });
+        });
+    }
+}
+
+void virtual_fleet::sendAssignment(std::size_t from, const addressed_assignment &made)
+{
+    const member sender = m_daemons[from].id;
+    for (std::size_t to = 0; to < m_daemons.size(); ++to) {
+        if (made.to != m_daemons[to].id)
+            continue;
+        transmit(from, to, [this, to, sender, assignment = made.assignment] {
+            if (sender != m_daemons[to].owner)
+                return;
+            m_daemons[to].client->apply(assignment, m_now);
+            scheduleAt(to, m_now, [this, to] { flush(to); });
+        });
+    }
+}
+
+void virtual_fleet::refreshMembership()
+{
+    std::vector<member> fresh;
+    std::vector<vm_id> vms;
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        if (!m_isFresh[index])
+            continue;
+        fresh.push_back(m_daemons[index].id);
+        vms.push_back(m_daemons[index].id.vm);
+    }
+    if (fresh.empty())
+        return;
+    const vm_id *vm = rendezvousOwner(vms, poolName);
+    const auto owner = std::find_if(fresh.begin(), fresh.end(),
+                                    [vm](const member &each) { return each.vm == *vm; });
+    const std::uint64_t view = m_nextView++;
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        const time_point seenAt = m_now + fromSeconds(0.1 * draw());
+        scheduleAt(index, seenAt, [this, index, view, fresh, to = *owner] {
+            daemon &at = m_daemons[index];
+            if (view < at.view)
+                return;
+            at.view = view;
+            if (at.owner != to) {
+                at.owner = to;
+                at.client->changeDispatcher();
+                at.owned.reset();
+            }
+            if (to == at.id && !at.owned) {
+                m_dispatcherSince = m_now;
+                const auto first = static_cast<std::uint64_t>(m_now.time_since_epoch().count());
+                const std::uint64_t slots = m_nextProcess++ << 32U;
+                at.owned = std::make_unique<dispatcher>(m_options.share, slots, first, m_now);
+                at.owned->setShares(m_options.shares);
+                at.owned->setUpstreams(eligible());
+            }
+            if (at.owned)
+                at.owned->setMembers(fresh);
+        });
+    }
+}
+
+void virtual_fleet::kill(std::size_t index)
+{
+    m_daemons[index].isAlive = false;
+    schedule(m_now + m_options.detection, [this, index] {
+        m_isFresh[index] = m_daemons[index].isAlive;
+        refreshMembership();
+    });
+}
+
+void virtual_fleet::replace(std::size_t index)
+{
+    if (m_daemons[index].isAlive)
+        return;
+    startDaemon(index, m_nextProcess++);
+    m_isFresh[index] = true;
+    refreshMembership();
+}
+
+void virtual_fleet::pause(std::size_t index, duration span)
+{
+    m_daemons[index].pausedUntil = m_now + span;
+    if (span <= m_options.detection)
+        return;
+    schedule(m_now + m_options.detection, [this, index] {
+        m_isFresh[index] = m_daemons[index].pausedUntil <= m_now;
+        refreshMembership();
+    });
+}
+
+void virtual_fleet::refreshUpstreams()
+{
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        scheduleAt(index, m_now + fromSeconds(0.05 * draw()), [this, index] {
+            m_daemons[index].client->setUpstreams(eligible(), m_now);
+            if (m_daemons[index].owned)
+                m_daemons[index].owned->setUpstreams(eligible());
+        });
+    }
+}
+
+void virtual_fleet::setFailing(const zone_name &zone, bool isFailing)
+{
+    for (executor &each : m_executors)
+        each.isFailing = each.vm.zone == zone ? isFailing : each.isFailing;
+}
+
+void virtual_fleet::setFailing(std::size_t upstream, bool isFailing)
+{
+    m_executors[upstream].isFailing = isFailing;
+}
+
+void virtual_fleet::setEligible(const zone_name &zone, bool isEligible)
+{
+    for (executor &each : m_executors)
+        each.isEligible = each.vm.zone == zone ? isEligible : each.isEligible;
+    refreshUpstreams();
+}
+
+void virtual_fleet::setDelay(std::chrono::microseconds jitter, double loss, double repetition)
+{
+    m_options.jitter = jitter;
+    m_options.loss = loss;
+    m_options.repetition = repetition;
+}
+
+void virtual_fleet::setConfirmed(std::size_t index, bool isConfirmed)
+{
+    m_daemons[index].client->setConfirmed(isConfirmed);
+}
+
+team_figures virtual_fleet::total() const
+{
+    team_figures sum;
+    for (const auto &[team, each] : m_figures) {
+        sum.usedSeconds += each.usedSeconds;
+        sum.asked += each.asked;
+        sum.answered += each.answered;
+        sum.failed += each.failed;
+        sum.refused += each.refused;
+        sum.cancelled += each.cancelled;
+    }
+    return sum;
+}
+
+std::uint64_t virtual_fleet::attempts(std::size_t upstream) const
+{
+    return m_executors[upstream].attempts;
+}
+
+std::uint64_t virtual_fleet::attempts(const zone_name &zone) const
+{
+    std::uint64_t sum = 0;
+    for (const executor &each : m_executors)
+        sum += each.vm.zone == zone ? each.attempts : 0;
+    return sum;
+}
+
+void virtual_fleet::resetPeaks()
+{
+    m_waits.clear();
+    m_mostRunning = 0;
+    m_idleSeconds = 0;
+    m_longestIdle = {};
+}
+
+std::chrono::microseconds virtual_fleet::wait(double part)
+{
+    if (m_waits.empty())
+        return {};
+    std::sort(m_waits.begin(), m_waits.end());
+    const auto last = static_cast<double>(m_waits.size() - 1);
+    return m_waits[static_cast<std::size_t>(part * last)];
+}
+
+std::size_t virtual_fleet::dispatcherIndex() const
+{
+    const auto found = std::find_if(m_daemons.begin(), m_daemons.end(),
+                                    [](const daemon &each) { return each.isAlive && each.owned; });
+    return static_cast<std::size_t>(found - m_daemons.begin());
+}
+
+const dispatcher *virtual_fleet::findDispatcher() const
+{
+    const std::size_t index = dispatcherIndex();
+    return index < m_daemons.size() ? m_daemons[index].owned.get() : nullptr;
+}
+
+std::size_t virtual_fleet::open() const
+{
+    std::size_t sum = 0;
+    for (const daemon &each : m_daemons) {
+        for (const auto &[id, ticket] : each.tickets)
+            sum += each.isAlive && !ticket.isEnded ? 1 : 0;
+    }
+    return sum;
+}
+
+bool virtual_fleet::balancesRights()
+{
+    for (daemon &each : m_daemons) {
+        if (!each.isAlive)
+            continue;
+        std::uint32_t taken = 0;
+        for (const auto &[team, figures] : m_figures)
+            taken += each.limits->taken(team);
+        if (taken != each.client->slots().busy() + each.client->queue().backed())
+            return false;
+    }
+    return true;
+}
+
+std::size_t virtual_fleet::held() const
+{
+    std::size_t sum = 0;
+    for (const daemon &each : m_daemons)
+        sum += each.isAlive ? each.client->slots().size() : 0;
+    return sum;
+}
+
+std::size_t virtual_fleet::busy() const
+{
+    std::size_t sum = 0;
+    for (const daemon &each : m_daemons)
+        sum += each.isAlive ? each.client->slots().busy() : 0;
+    return sum;
+}
+
+} // namespace azurelb::testing
--- /dev/null
+++ b/test/azurelb/share/virtual_fleet.hpp
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "mock_limits.hpp"
+
+#include <azurelb/share/dispatcher.hpp>
+#include <azurelb/share/lease_client.hpp>
+#include <azurelb/share/right_ledger.hpp>
+
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+
+namespace azurelb::testing {
+
+/** Sizes and faults of a virtual fleet. */
+struct fleet_options
+{
+    std::size_t daemons{9};
+    std::size_t upstreams{10};
+    std::uint32_t slots{8};
+    std::chrono::microseconds delay{1500};
+    std::chrono::microseconds jitter{0};
+    std::chrono::milliseconds meanRun{50};
+    /** Run times follow an exponential law; else they are even within half of the mean. */
+    bool isLongTailed{false};
+    /** Time until the membership drops a daemon that is gone. */
+    std::chrono::milliseconds detection{1000};
+    double loss{0};
+    double repetition{0};
+    std::uint64_t seed{1};
+    share_options share{};
+    std::vector<team_share> shares{};
+    /** No dispatcher: each daemon has a fixed part of the slots. */
+    bool isStatic{false};
+};
+
+/** Requests of one team that arrive at one daemon. */
+struct load
+{
+    team_name team{};
+    std::size_t daemon{};
+    double perSecond{};
+    std::chrono::milliseconds deadline{2000};
+};
+
+/** What happened to the requests of one team. */
+struct team_figures
+{
+    double usedSeconds{};
+    std::uint64_t asked{};
+    std::uint64_t answered{};
+    std::uint64_t failed{};
+    std::uint64_t refused{};
+    std::uint64_t cancelled{};
+};
+
+/** Daemons, executors and the network between them, under one virtual clock. */
+class virtual_fleet
+{
+    struct event
+    {
+        time_point at{};
+        std::uint64_t order{};
+        std::function<void()> action{};
+        bool operator<(const event &other) const noexcept
+        {
+            return at > other.at || (at == other.at && order > other.order);
+        }
+    };
+
+    struct ticket_state
+    {
+        team_name team{};
+        time_point askedAt{};
+        bool isEnded{};
+    };
+
+    struct daemon
+    {
+        member id{};
+        bool isAlive{true};
+        time_point pausedUntil{};
+        std::unique_ptr<mock_limits> limits{};
+        std::unique_ptr<right_ledger> rights{};
+        std::unique_ptr<lease_client> client{};
+        std::unique_ptr<dispatcher> owned{};
+        std::optional<member> owner{};
+        std::map<ticket_id, ticket_state> tickets{};
+        std::uint64_t staticSequence{};
+        std::uint64_t view{};
+    };
+
+    struct executor
+    {
+        upstream_vm vm{};
+        bool isEligible{true};
+        bool isFailing{};
+        std::uint32_t running{};
+        std::uint64_t attempts{};
+    };
+
+public:
+    explicit virtual_fleet(fleet_options options);
+
+    /** Adds a stream of requests with exponential gaps; the index changes its rate later. */
+    std::size_t addLoad(load added);
+    void setRate(std::size_t index, double perSecond) { m_loads[index].perSecond = perSecond; }
+
+    /** Lets one request arrive now. */
+    ticket_id ask(std::size_t daemon, const team_name &team, std::chrono::milliseconds deadline,
+                  std::set<vm_id> avoid = {});
+
+    /** Cancels that part of the waiting requests of every daemon. */
+    void cancelWaiting(double part);
+
+    void advance(duration span);
+    void kill(std::size_t daemon);
+    void pause(std::size_t daemon, duration span);
+    /** A process with a new incarnation takes the place of a daemon that was killed. */
+    void replace(std::size_t daemon);
+    void setFailing(const zone_name &zone, bool isFailing);
+    void setFailing(std::size_t upstream, bool isFailing);
+    void setEligible(const zone_name &zone, bool isEligible);
+    void setDelay(std::chrono::microseconds jitter, double loss, double repetition);
+    void setConfirmed(std::size_t daemon, bool isConfirmed);
+
+    [[nodiscard]] time_point now() const noexcept { return m_now; }
+    [[nodiscard]] team_figures &figures(const team_name &team) { return m_figures[team]; }
+    [[nodiscard]] team_figures total() const;
+    [[nodiscard]] std::uint64_t attempts(std::size_t upstream) const;
+    [[nodiscard]] std::uint64_t attempts(const zone_name &zone) const;
+    /** Forgets waits, idle time, and the most running; the teams' figures stay. */
+    void resetPeaks();
+    /** Most requests at one executor at one moment. */
+    [[nodiscard]] std::uint32_t mostRunning() const noexcept { return m_mostRunning; }
+    /** Slot seconds that stood idle while a request that was allowed to run waited. */
+    [[nodiscard]] double idleSeconds() const noexcept { return m_idleSeconds; }
+    /** Longest time for which a slot was idle while a request that was allowed to run waited. */
+    [[nodiscard]] duration longestIdle() const noexcept { return m_longestIdle; }
+    /** Wait from asking to the grant at that part of all grants, 0 to 1. */
+    [[nodiscard]] std::chrono::microseconds wait(double part);
+    /** Messages between daemons so far. */
+    [[nodiscard]] std::uint64_t messages() const noexcept { return m_messages; }
+    [[nodiscard]] std::size_t dispatcherIndex() const;
+    [[nodiscard]] const dispatcher *findDispatcher() const;
+    [[nodiscard]] lease_client &client(std::size_t daemon) { return *m_daemons[daemon].client; }
+    [[nodiscard]] mock_limits &limits(std::size_t daemon) { return *m_daemons[daemon].limits; }
+    [[nodiscard]] std::size_t size() const noexcept { return m_daemons.size(); }
+    [[nodiscard]] bool isAlive(std::size_t daemon) const { return m_daemons[daemon].isAlive; }
+    /** Requests whose end was told more than once. */
+    [[nodiscard]] std::uint64_t doubled() const noexcept { return m_doubled; }
+    /** Requests at living daemons that have neither been granted, refused nor cancelled. */
+    [[nodiscard]] std::size_t open() const;
+    /** True if every daemon has given back each right whose request neither waits nor runs. */
+    [[nodiscard]] bool balancesRights();
+    /** Last time at which some daemon began to dispatch. */
+    [[nodiscard]] time_point dispatcherSince() const noexcept { return m_dispatcherSince; }
+    /** Executor slots held by daemons, and of these the busy ones. */
+    [[nodiscard]] std::size_t held() const;
+    [[nodiscard]] std::size_t busy() const;
+
+private:
+    void schedule(time_point at, std::function<void()> action);
+    /** Runs the action at the daemon: never if it was killed, later if it is paused. */
+    void scheduleAt(std::size_t daemon, time_point at, std::function<void()> action);
+    void startDaemon(std::size_t index, std::uint64_t process);
+    void arrive(std::size_t index);
+    void tick();
+    void flush(std::size_t index);
+    void flushStatic(daemon &at);
+    void run(std::size_t index, const ticket_grant &granted);
+    void end(std::size_t index, lease_id lease, const team_name &team, std::size_t upstream,
+             duration span);
+    void sendReport(std::size_t from, const slot_report &report);
+    void sendAssignment(std::size_t from, const addressed_assignment &made);
+    void transmit(std::size_t from, std::size_t to, std::function<void()> action);
+    void refreshMembership();
+    void refreshUpstreams();
+    void measureIdle();
+    [[nodiscard]] std::vector<upstream_vm> eligible() const;
+    [[nodiscard]] duration drawRun();
+    [[nodiscard]] double draw();
+
+    fleet_options m_options;
+    std::mt19937_64 m_random;
+    time_point m_now{std::chrono::hours{1}};
+    std::uint64_t m_order{0};
+    std::priority_queue<event> m_events{};
+    std::vector<daemon> m_daemons{};
+    std::vector<executor> m_executors{};
+    std::vector<load> m_loads{};
+    std::vector<bool> m_isFresh{};
+    std::map<team_name, team_figures> m_figures{};
+    std::vector<std::chrono::microseconds> m_waits{};
+    std::uint64_t m_nextTicket{1};
+    std::uint64_t m_nextProcess{1};
+    std::uint64_t m_nextView{1};
+    std::uint64_t m_messages{0};
+    std::uint64_t m_doubled{0};
+    std::uint32_t m_mostRunning{0};
+    time_point m_dispatcherSince{};
+    double m_idleSeconds{0};
+    duration m_idleFor{};
+    duration m_longestIdle{};
+};
+
+} // namespace azurelb::testing
