A query renews no lease; stale slots are recalled before they serve

Cause: fuzzing (all faults, case 14) saw 11 running on 8 slots. A daemon that had been paused for 4.5 s kept slots that were assigned anew meanwhile; the dispatcher's query renewed its lease, and adopted slots counted as assigned before the next plan. Ruled out: reordered reports and a second dispatcher (none in the trace). Conclusion: only an assignment renews, it waits for the plan, and idle slots are recalled while more are held than there are.

--- a/src/azurelb/share/dispatcher.cpp
+++ b/src/azurelb/share/dispatcher.cpp
@@ -230,13 +230,28 @@
     daemon.isUrgent = true;
 }
 
-void dispatcher::recallFrom(upstream_state &upstream, bool isBusy)
+void dispatcher::recallIdle(upstream_state &upstream)
+{
+    std::uint32_t used = upstream.held;
+    for (daemon_state &daemon : m_daemons) {
+        for (slot_state &slot : daemon.slots) {
+            if (used <= upstream.capacity)
+                return;
+            if (slot.upstream != &upstream || !slot.isAssigned || slot.isBusy)
+                continue;
+            recall(slot, daemon);
+            --used;
+        }
+    }
+}
+
+void dispatcher::recallBusy(upstream_state &upstream)
 {
     for (daemon_state &daemon : m_daemons) {
         for (slot_state &slot : daemon.slots) {
             if (upstream.assigned <= upstream.capacity)
                 return;
-            if (slot.upstream == &upstream && slot.isAssigned && slot.isBusy == isBusy)
+            if (slot.upstream == &upstream && slot.isAssigned)
                 recall(slot, daemon);
         }
     }
@@ -245,8 +260,8 @@
 void dispatcher::recallExcess()
 {
     for (auto &[vm, each] : m_upstreams) {
-        recallFrom(each, false);
-        recallFrom(each, true);
+        recallIdle(each);
+        recallBusy(each);
     }
 }
 
@@ -487,7 +502,7 @@
         const daemon_state &daemon = m_daemons[index];
         if (isSilent(daemon, now) || !isDue(daemon, now))
             continue;
-        if (daemon.isSynchronised && !m_isReady)
+        if (daemon.isSynchronised && (!m_isReady || m_isChanged))
             continue;
         due.push_back({daemon.id, makeAssignment(index, now)});
     }
--- a/src/azurelb/share/dispatcher.hpp
+++ b/src/azurelb/share/dispatcher.hpp
@@ -80,7 +80,10 @@
     void setWanted(time_point now);
     void round();
     void recall(slot_state &slot, daemon_state &daemon);
-    void recallFrom(upstream_state &upstream, bool isBusy);
+    /** Recalls idle slots while more are held than may be used. */
+    void recallIdle(upstream_state &upstream);
+    /** Recalls slots while more may start requests than may be used. */
+    void recallBusy(upstream_state &upstream);
     [[nodiscard]] static double missing(const daemon_state &daemon) noexcept;
     [[nodiscard]] double shortage() const;
     [[nodiscard]] bool isSilent(const daemon_state &daemon, time_point now) const noexcept;
--- a/src/azurelb/share/lease_client.cpp
+++ b/src/azurelb/share/lease_client.cpp
@@ -113,12 +113,12 @@
         return;
     m_applied = assignment.sequence;
     m_acknowledged = std::max(m_acknowledged, assignment.acknowledged);
-    const time_point sentAt{assignment.reportSentAt};
-    m_startUntil = std::max(m_startUntil, sentAt + m_options.leaseTime);
     if (assignment.isQuery) {
         markUrgent();
         return;
     }
+    const time_point sentAt{assignment.reportSentAt};
+    m_startUntil = std::max(m_startUntil, sentAt + m_options.leaseTime);
     m_isContended = assignment.isContended;
     m_queue.setWeights(assignment.weights);
     if (m_slots.assign(assignment.slots))
--- a/test/azurelb/share/dispatching_fuzz_test.cpp
+++ b/test/azurelb/share/dispatching_fuzz_test.cpp
@@ -20,6 +20,9 @@
 /** A slot is idle no longer than this while a request that may run waits. */
 constexpr duration longestIdle{100ms};
 
+/** Requests that come at once now and then. */
+constexpr std::uint32_t burst{100};
+
 const char *const teams[]{"a", "b", "c"};
 const char *const zoneNames[]{"milano", "bergamo", "verona", "trento"};
 
@@ -43,7 +46,8 @@
 
     void ask(std::uint32_t at, std::uint32_t count)
     {
-        for (std::uint32_t done = 0; done < 1 + count % 8; ++done) {
+        const std::uint32_t number = count % 8 == 0 ? burst : count % 8;
+        for (std::uint32_t done = 0; done < number; ++done) {
             if (m_fleet.isAlive(at % daemons))
                 m_fleet.ask(at % daemons, team_name{teams[(at + count) % 3]}, 1500ms);
         }
@@ -201,6 +205,7 @@
     options.slots = slots;
     options.meanRun = 30ms;
     options.seed = seed;
+    options.share.slotsPerDaemon = 64 / daemons;
     options.shares = {{team_name{"a"}, 5}, {team_name{"b"}, 3}, {team_name{"c"}, 1}};
     return options;
 }
@@ -208,11 +213,14 @@
 class dispatching_fuzz_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(dispatching_fuzz_test);
+    CPPUNIT_TEST(leavesNoSlotIdle);
     CPPUNIT_TEST(keepsSlotsWhileFleetIsWhole);
     CPPUNIT_TEST(keepsSlotsAndTickets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void leavesNoSlotIdle() { check("no faults", {40, 50, 3, 1}); }
+
     void keepsSlotsWhileFleetIsWhole() { check("network faults", {40, 50, 3, 1, 2, 1, 1, 1, 1}); }
 
     void keepsSlotsAndTickets() { check("all faults", {40, 50, 3, 1, 1, 1, 1, 1, 1, 2, 1, 2}); }
--- a/test/azurelb/share/share_test.cpp
+++ b/test/azurelb/share/share_test.cpp
@@ -114,19 +114,20 @@
     return std::chrono::duration<double, std::milli>(span).count();
 }
 
-/** Waits at a twentieth of the capacity. */
-[[nodiscard]] duration waitAtLowLoad(const fleet_options &options, const char *label)
+/** Longest wait of the first requests after a pause, one burst at each daemon in turn. */
+[[nodiscard]] duration waitAfterPause(const fleet_options &options, const char *label)
 {
     virtual_fleet fleet{options};
-    addUnevenLoad(fleet, 0.05 / 6);
     fleet.advance(2s);
-    fleet.resetPeaks();
-    fleet.advance(10s);
+    for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+        for (int count = 0; count < 4; ++count)
+            (void)fleet.ask(daemon, team_name{"middle"}, 1000ms);
+        fleet.advance(1s);
+    }
     print(label,
           {{"wait p50 ms", toMilliseconds(fleet.wait(0.5))},
-           {"p99 ms", toMilliseconds(fleet.wait(0.99))},
-           {"messages/s", static_cast<double>(fleet.messages()) / 12}});
-    return fleet.wait(0.99);
+           {"longest ms", toMilliseconds(fleet.wait(1))}});
+    return fleet.wait(1);
 }
 
 class share_test : public CppUnit::TestFixture
@@ -202,10 +203,10 @@
 
     void addsNoRoundTripAtLowLoad()
     {
-        CPPUNIT_ASSERT(waitAtLowLoad(usual(), "low load") < 1ms);
+        CPPUNIT_ASSERT(waitAfterPause(usual(), "low load") < 1ms);
         fleet_options options = usual();
         options.share.isSpreadingIdle = false;
-        CPPUNIT_ASSERT(waitAtLowLoad(options, "low load, idle slots not spread") > 1ms);
+        CPPUNIT_ASSERT(waitAfterPause(options, "low load, idle slots not spread") > 3ms);
     }
 
     /** Each team in turn asks for five times its mean, the others for a twentieth. */
@@ -213,6 +214,7 @@
     {
         fleet_options options = usual();
         virtual_fleet fleet{options};
+        fleet.advance(500ms);
         const double mean = 0.4 * allSlots / meanRunSeconds;
         std::vector<std::size_t> loads;
         for (const team_share &each : sixTeams) {
