--- a/src/azurelb/share/dispatched_slot_service.hpp
+++ b/src/azurelb/share/dispatched_slot_service.hpp
@@ -87,7 +87,7 @@
     document_source *m_documents{};
     metrics *m_metrics{};
     std::unique_ptr<right_ledger> m_rights{};
-    std::map<pool_name, std::unique_ptr<pool_dispatching>> m_pools{};
+    std::map<pool_name, std::unique_ptr<pool_dispatching>> m_pools;
     std::unordered_map<queue_name, pool_dispatching *> m_queues{};
     std::unordered_map<ticket_id, slot_handler> m_handlers{};
     std::unordered_map<ticket_id, pool_dispatching *> m_tickets{};
