--- a/test/azurelb/share/virtual_fleet.hpp
+++ b/test/azurelb/share/virtual_fleet.hpp
@@ -47,6 +47,7 @@
 /** What happened to the requests of one team. */
 struct team_figures
 {
+    /** Slot time at the executors, including that of running requests. */
     double usedSeconds{};
     std::uint64_t asked{};
     std::uint64_t answered{};
@@ -97,6 +98,9 @@
         bool isEligible{true};
         bool isFailing{};
         std::uint32_t running{};
+        /** Uses of its slots from the grant to the release. */
+        std::uint32_t used{};
+        duration idleFor{};
         std::uint64_t attempts{};
     };
 
@@ -126,7 +130,7 @@
     void setConfirmed(std::size_t daemon, bool isConfirmed);
 
     [[nodiscard]] time_point now() const noexcept { return m_now; }
-    [[nodiscard]] team_figures &figures(const team_name &team) { return m_figures[team]; }
+    [[nodiscard]] team_figures figures(const team_name &team) const;
     [[nodiscard]] team_figures total() const;
     [[nodiscard]] std::uint64_t attempts(std::size_t upstream) const;
     [[nodiscard]] std::uint64_t attempts(const zone_name &zone) const;
@@ -136,7 +140,8 @@
     [[nodiscard]] std::uint32_t mostRunning() const noexcept { return m_mostRunning; }
     /** Slot seconds that stood idle while a request that was allowed to run waited. */
     [[nodiscard]] double idleSeconds() const noexcept { return m_idleSeconds; }
-    /** Longest time for which a slot was idle while a request that was allowed to run waited. */
+    /** Longest time for which one executor had an idle slot while a request that was allowed to
+        run waited. */
     [[nodiscard]] duration longestIdle() const noexcept { return m_longestIdle; }
     /** Wait from asking to the grant at that part of all grants, 0 to 1. */
     [[nodiscard]] std::chrono::microseconds wait(double part);
@@ -192,6 +197,8 @@
     std::vector<load> m_loads{};
     std::vector<bool> m_isFresh{};
     std::map<team_name, team_figures> m_figures{};
+    /** Start of each request that runs at an executor. */
+    std::multimap<team_name, time_point> m_running{};
     std::vector<std::chrono::microseconds> m_waits{};
     std::uint64_t m_nextTicket{1};
     std::uint64_t m_nextProcess{1};
@@ -201,7 +208,6 @@
     std::uint32_t m_mostRunning{0};
     time_point m_dispatcherSince{};
     double m_idleSeconds{0};
-    duration m_idleFor{};
     duration m_longestIdle{};
 };
 
