--- a/src/azurelb/operations/make_status.cpp
+++ b/src/azurelb/operations/make_status.cpp
@@ -6,6 +6,9 @@
 #include <azurelb/operations/make_status.hpp>
 #include <azurelb/upstream/upstream_directory.hpp>
 
+#include <map>
+#include <string>
+
 namespace azurelb {
 
 namespace {
@@ -33,16 +36,17 @@
 
 void addZones(wire::status &status, const config_view &config, const fleet_view &fleet)
 {
-    for (const wire::availability_zone &zone : config.document().zones()) {
-        wire::zone_status &added = *status.add_zones();
-        added.set_name(zone.name());
-        added.set_out(zone.out());
-        for (const wire::fleet_vm &vm : fleet.document().vms()) {
-            if (vm.zone() != zone.name())
-                continue;
-            added.set_vms(added.vms() + 1);
-            added.set_serving(added.serving() + (isServing(vm) ? 1 : 0));
-        }
+    std::map<std::string, wire::zone_status> zones;
+    for (const wire::availability_zone &zone : config.document().zones())
+        zones[zone.name()].set_out(zone.out());
+    for (const wire::fleet_vm &vm : fleet.document().vms()) {
+        wire::zone_status &counted = zones[vm.zone()];
+        counted.set_vms(counted.vms() + 1);
+        counted.set_serving(counted.serving() + (isServing(vm) ? 1 : 0));
+    }
+    for (auto &[name, counted] : zones) {
+        counted.set_name(name);
+        *status.add_zones() = counted;
     }
 }
 
