Activity of the daemons for the planner

Cause: the planner needs running requests per VM to end drains, and demand per queue to size pools. Ruled out: counts from the dispatchers alone, which lose a VM once it is no longer eligible; differences in the reports, which a lost report falsifies.

--- /dev/null
+++ b/src/azurelb/activity/activity_collector.cpp
@@ -0,0 +1,101 @@
+#include <azurelb/activity/activity_collector.hpp>
+#include <azurelb/wire/activity.pb.h>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace {
+
+queue_totals readTotals(const wire::queue_activity &read)
+{
+    queue_totals totals;
+    totals.arrivals = read.arrivals();
+    totals.granted = read.granted();
+    totals.waited = std::chrono::microseconds{read.waited_us()};
+    totals.ended = read.ended();
+    totals.ran = std::chrono::microseconds{read.ran_us()};
+    return totals;
+}
+
+void addDifference(queue_totals &sum, const queue_totals &now, const queue_totals &before)
+{
+    sum.arrivals += now.arrivals - before.arrivals;
+    sum.granted += now.granted - before.granted;
+    sum.waited += now.waited - before.waited;
+    sum.ended += now.ended - before.ended;
+    sum.ran += now.ran - before.ran;
+}
+
+std::chrono::milliseconds mean(std::chrono::microseconds sum, std::uint64_t count)
+{
+    const auto divisor = static_cast<std::int64_t>(std::max<std::uint64_t>(count, 1));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sum / divisor);
+}
+
+queue_demand toDemand(const queue_name &queue, const queue_totals &totals, duration interval)
+{
+    const double seconds = std::chrono::duration<double>(interval).count();
+    return {queue, static_cast<double>(totals.arrivals) / seconds, mean(totals.ran, totals.ended),
+            mean(totals.waited, totals.granted)};
+}
+
+} // namespace
+
+void activity_collector::update(const member &from, const wire::activity_report &report,
+                                time_point now)
+{
+    daemon_activity &daemon = m_daemons[from];
+    const bool isFirst = daemon.at == time_point{};
+    daemon.at = now;
+    daemon.running.clear();
+    for (const wire::vm_activity &each : report.vms())
+        daemon.running[vm_id{each.vm()}] = each.running();
+    for (const wire::queue_activity &each : report.queues())
+        daemon.queues[queue_name{each.queue()}] = readTotals(each);
+    // Totals of before this planner's time are nobody's demand now.
+    if (isFirst)
+        daemon.taken = daemon.queues;
+}
+
+void activity_collector::retain(std::span<const member> members)
+{
+    std::erase_if(m_daemons, [members](const auto &each) {
+        return std::find(members.begin(), members.end(), each.first) == members.end();
+    });
+}
+
+std::optional<std::uint32_t>
+activity_collector::running(const vm_id &vm, std::span<const member> members, time_point now) const
+{
+    std::uint32_t sum = 0;
+    for (const member &each : members) {
+        const auto found = m_daemons.find(each);
+        if (found == m_daemons.end() || now - found->second.at > reportAge)
+            return std::nullopt;
+        const auto counted = found->second.running.find(vm);
+        sum += counted == found->second.running.end() ? 0 : counted->second;
+    }
+    return sum;
+}
+
+std::vector<queue_demand> activity_collector::takeDemand(time_point now)
+{
+    const duration interval = now - m_takenAt;
+    const bool isFirst = m_takenAt == time_point{};
+    m_takenAt = now;
+    totals_map sums;
+    for (auto &[from, daemon] : m_daemons) {
+        for (const auto &[queue, totals] : daemon.queues)
+            addDifference(sums[queue], totals, daemon.taken[queue]);
+        daemon.taken = daemon.queues;
+    }
+    std::vector<queue_demand> demand;
+    for (const auto &[queue, totals] : sums) {
+        if (!isFirst)
+            demand.push_back(toDemand(queue, totals, interval));
+    }
+    return demand;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/activity/activity_collector.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <azurelb/activity/fwd.hpp>
+#include <azurelb/activity/queue_totals.hpp>
+#include <azurelb/core/identifier.hpp>
+#include <azurelb/fleet/queue_demand.hpp>
+#include <azurelb/membership/member.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace azurelb {
+
+namespace wire {
+class activity_report;
+} // namespace wire
+
+/** Adds up the daemons' reports for the planner. */
+class activity_collector
+{
+public:
+    /** Reports older than this count as missing. */
+    static constexpr std::chrono::seconds reportAge{5};
+
+    /** Takes in a daemon's report. */
+    void update(const member &from, const wire::activity_report &report, time_point now);
+
+    /** Drops daemons that are no longer members. */
+    void retain(std::span<const member> members);
+
+    /** Requests running on the VM; nothing if the report of one of the members is missing. */
+    [[nodiscard]] std::optional<std::uint32_t>
+    running(const vm_id &vm, std::span<const member> members, time_point now) const;
+
+    /** Demand of each queue since the last call; empty at the first. */
+    [[nodiscard]] std::vector<queue_demand> takeDemand(time_point now);
+
+private:
+    using totals_map = std::map<queue_name, queue_totals>;
+
+    struct daemon_activity
+    {
+        time_point at{};
+        std::map<vm_id, std::uint32_t> running{};
+        totals_map queues{};
+        /** What takeDemand() has told already. */
+        totals_map taken{};
+    };
+
+    std::map<member, daemon_activity> m_daemons{};
+    time_point m_takenAt{};
+};
+
+} // namespace azurelb
--- a/src/azurelb/platform/polling_vm_list.cpp
+++ b/src/azurelb/platform/polling_vm_list.cpp
@@ -60,6 +60,7 @@
     request.set(http::field::host, toString(m_options.endpoint));
     if (!m_tag.empty())
         request.set(http::field::if_none_match, m_tag);
+    m_pollSentAt = std::chrono::steady_clock::now();
     m_client.call(std::move(request), {m_options.timeout, m_options.timeout},
                   [this](http_outcome &&outcome) { answered(outcome); });
 }
@@ -75,6 +76,7 @@
     if (!good)
         return;
     ++m_polls;
+    m_askedAt = m_pollSentAt;
     if (status == http::status::ok)
         take(outcome.response);
 }
--- a/src/azurelb/platform/polling_vm_list.hpp
+++ b/src/azurelb/platform/polling_vm_list.hpp
@@ -33,6 +33,8 @@
 
     [[nodiscard]] list_ptr list() const override { return m_list; }
 
+    [[nodiscard]] time_point askedAt() const override { return m_askedAt; }
+
     void subscribe(std::function<void()> changed) override;
 
     /** Whether the latest poll was answered. */
@@ -53,6 +55,8 @@
     http_client m_client;
     boost::asio::steady_timer m_timer;
     std::string m_tag;
+    time_point m_pollSentAt{};
+    time_point m_askedAt{};
     list_ptr m_list;
     std::vector<std::function<void()>> m_subscribers;
     bool m_reachable{true};
--- a/src/azurelb/request/attempt_loop.cpp
+++ b/src/azurelb/request/attempt_loop.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/activity/activity_recorder.hpp>
 #include <azurelb/core/await_callback.hpp>
 #include <azurelb/core/clock_source.hpp>
 #include <azurelb/http/problem_response.hpp>
@@ -87,6 +88,32 @@
     upstream_connection_ptr m_connection;
 };
 
+/** Counts the use of a slot for the planner. */
+class activity_guard
+{
+public:
+    activity_guard(activity_recorder &activity, const clock_source &clock, const queue_name &queue,
+                   const vm_id &vm, time_point asked)
+        : m_activity{activity}
+        , m_clock{clock}
+        , m_queue{queue}
+        , m_vm{vm}
+        , m_started{clock.now()}
+    {
+        m_activity.start(m_queue, m_vm, m_started - asked);
+    }
+    activity_guard(const activity_guard &) = delete;
+    activity_guard &operator=(const activity_guard &) = delete;
+    ~activity_guard() { m_activity.end(m_queue, m_vm, m_clock.now() - m_started); }
+
+private:
+    activity_recorder &m_activity;
+    const clock_source &m_clock;
+    const queue_name &m_queue;
+    const vm_id &m_vm;
+    time_point m_started;
+};
+
 attempt_outcome outcomeOf(const exchange_result &result)
 {
     switch (result.state) {
@@ -151,11 +178,13 @@
 } // namespace
 
 attempt_loop::attempt_loop(asio::io_context &loop, const clock_source &clock, slot_service &slots,
-                           connection_pool &connections, metrics &counters)
+                           connection_pool &connections, activity_recorder &activity,
+                           metrics &counters)
     : m_loop{loop}
     , m_clock{clock}
     , m_slots{slots}
     , m_connections{connections}
+    , m_activity{activity}
     , m_random{std::random_device{}()}
     , m_retriesRefused{counters.counter("azurelb_retries_refused_total",
                                         "Retries not made because the budget was spent")}
@@ -170,11 +199,14 @@
 {
     slot_request wanted{request.queue, request.team, request.deadline, {}};
     m_budgets[request.queue].deposit();
+    m_activity.arrive(request.queue);
     for (unsigned attempts = 1;; ++attempts) {
+        const time_point asked = m_clock.now();
         const slot_grant grant = co_await awaitSlot(wanted);
         if (grant.refusal != slot_refusal::none)
             co_return refusedBySlots(grant);
         lease_guard lease{m_slots, grant.lease};
+        const activity_guard counted{m_activity, m_clock, request.queue, grant.upstream.vm, asked};
         exchange_result ended = co_await attempt(request, grant.upstream);
         lease.set(outcomeOf(ended));
         count(ended.state);
--- a/src/azurelb/request/attempt_loop.hpp
+++ b/src/azurelb/request/attempt_loop.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <azurelb/activity/fwd.hpp>
 #include <azurelb/core/fwd.hpp>
 #include <azurelb/http/message.hpp>
 #include <azurelb/metrics/fwd.hpp>
@@ -29,7 +30,7 @@
 {
 public:
     attempt_loop(boost::asio::io_context &loop, const clock_source &clock, slot_service &slots,
-                 connection_pool &connections, metrics &counters);
+                 connection_pool &connections, activity_recorder &activity, metrics &counters);
     attempt_loop(const attempt_loop &) = delete;
     attempt_loop &operator=(const attempt_loop &) = delete;
 
@@ -49,6 +50,7 @@
     const clock_source &m_clock;
     slot_service &m_slots;
     connection_pool &m_connections;
+    activity_recorder &m_activity;
     std::unordered_map<queue_name, retry_budget> m_budgets{};
     std::mt19937_64 m_random;
     prometheus::Counter *m_attempts[4];
--- a/src/azurelb/request/caller_api.cpp
+++ b/src/azurelb/request/caller_api.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/activity/activity_service.hpp>
 #include <azurelb/config/config_view.hpp>
 #include <azurelb/config/document_source.hpp>
 #include <azurelb/core/clock_source.hpp>
@@ -56,10 +57,12 @@
 {
     auto &platform = services.find<store>(store::serviceName);
     auto &slots = services.find<slot_service>(slot_service::serviceName);
+    auto &activity = services.find<activity_service>(activity_service::serviceName);
     auto &counters = services.find<metrics>(metrics::serviceName);
     m_documents = &services.find<document_source>(document_source::serviceName);
     m_connections = std::make_unique<connection_pool>(m_loop, m_clock, m_connectionOptions);
-    m_attempts = std::make_unique<attempt_loop>(m_loop, m_clock, slots, *m_connections, counters);
+    m_attempts = std::make_unique<attempt_loop>(m_loop, m_clock, slots, *m_connections,
+                                                activity.recorder(), counters);
     m_claims = std::make_unique<claim_registry>(m_loop, m_clock, platform);
     m_server = std::make_unique<http_server>(
         m_loop, m_options.listen, m_options.limits,
--- a/src/azurelbd/daemon_process.cpp
+++ b/src/azurelbd/daemon_process.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/activity/activity_service.hpp>
 #include <azurelb/config/replica_options.hpp>
 #include <azurelb/config/replicated_documents.hpp>
 #include <azurelb/http/endpoint.hpp>
@@ -107,6 +108,7 @@
 void daemon_process::addRequestServices()
 {
     m_services.emplace<dispatched_slot_service>(m_loop, m_clock, shareOptions(m_settings));
+    m_services.emplace<activity_service>(m_loop, m_clock);
     m_services.emplace<caller_api>(m_loop, m_clock, m_settings.callers, m_settings.connections);
     m_services.emplace<operator_api>(m_loop, m_settings);
 }
