--- a/src/azurelb/config/poll_schedule.cpp
+++ b/src/azurelb/config/poll_schedule.cpp
@@ -33,14 +33,14 @@
     , m_sentAt{now - options.isolatedReadPeriod}
 { }
 
-bool poll_schedule::isDue(const std::vector<poll_candidate> &candidates, bool confirmed,
+bool poll_schedule::isDue(const std::vector<poll_candidate> &candidates, bool staysConfirmed,
                           time_point now)
 {
     if (m_inFlight)
         return false;
     const bool reader = isReader(candidates);
-    const bool needed = reader || !confirmed || isStoreUnreachable();
-    return needed && now - m_sentAt >= period(candidates, reader);
+    const bool needed = reader || !staysConfirmed || isStoreUnreachable();
+    return needed && now - m_sentAt >= period(candidates.size(), reader, !staysConfirmed);
 }
 
 void poll_schedule::onSent(time_point now)
@@ -75,15 +75,15 @@
     return false;
 }
 
-duration poll_schedule::period(const std::vector<poll_candidate> &candidates, bool reader) const
+duration poll_schedule::period(std::size_t members, bool reader, bool urgent) const
 {
     constexpr double jitterPart{0.5};
-    const auto members = static_cast<duration::rep>(std::max<std::size_t>(candidates.size(), 1));
-    if (members == 1 && m_options.expectedMembers > 1)
+    if (members <= 1 && m_options.expectedMembers > 1)
         return m_options.isolatedReadPeriod;
     if (reader)
         return m_options.readPeriod;
-    const duration shared = m_options.readPeriod * members;
+    const std::size_t sharing = std::max<std::size_t>(urgent ? members / 2 : members, 2);
+    const duration shared = m_options.readPeriod * static_cast<duration::rep>(sharing);
     return shared + std::chrono::duration_cast<duration>(shared * (jitterPart * m_jitter));
 }
 
--- a/src/azurelb/config/poll_schedule.hpp
+++ b/src/azurelb/config/poll_schedule.hpp
@@ -42,7 +42,7 @@
     [[nodiscard]] bool isReader(const std::vector<poll_candidate> &candidates) const;
 
 private:
-    [[nodiscard]] duration period(const std::vector<poll_candidate> &candidates, bool reader) const;
+    [[nodiscard]] duration period(std::size_t members, bool reader, bool urgent) const;
 
     vm_id m_self;
     replica_options m_options;
--- a/src/azurelb/config/replicated_documents.cpp
+++ b/src/azurelb/config/replicated_documents.cpp
@@ -150,7 +150,8 @@
     dropLeaving();
     m_confirmation->advance(now);
     const std::vector<poll_candidate> fresh = candidates();
-    if (m_schedule->isDue(fresh, m_confirmation->isConfirmed(now), now))
+    const bool staysConfirmed = m_confirmation->isConfirmed(now + m_options.readPeriod);
+    if (m_schedule->isDue(fresh, staysConfirmed, now))
         readStore(now);
     m_writes->advance();
     trimAudit(fresh, now);
--- a/test/azurelb/config/cluster_scenario_test.cpp
+++ b/test/azurelb/config/cluster_scenario_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <optional>
 
 namespace {
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(reportOfReplacedVoterExpires);
     CPPUNIT_TEST(allRestartedWithoutStoreStayUnconfirmed);
     CPPUNIT_TEST(readingMovesToADaemonThatReachesTheStore);
+    CPPUNIT_TEST(daemonThatNobodyConfirmsReadsByItself);
     CPPUNIT_TEST(fleetWriteNeedsTheExpectedRevision);
     CPPUNIT_TEST(auditIsListedNewestFirst);
     CPPUNIT_TEST(oldAuditRecordsAreDeleted);
@@ -185,6 +187,30 @@
         CPPUNIT_ASSERT(m_cluster->daemon(4).backend->calls() - before >= 15);
     }
 
+    void daemonThatNobodyConfirmsReadsByItself()
+    {
+        begin(9);
+        for (std::size_t slot = 4; slot < 9; ++slot)
+            m_cluster->kill(slot);
+        m_cluster->time.advance(3s);
+        std::array<std::uint64_t, 4> calls{};
+        for (std::size_t slot = 0; slot < 4; ++slot)
+            calls[slot] = m_cluster->daemon(slot).backend->calls();
+        m_cluster->time.advance(2s);
+        std::vector<std::size_t> others;
+        for (std::size_t slot = 0; slot < 4; ++slot) {
+            const bool reads = m_cluster->daemon(slot).backend->calls() > calls[slot];
+            m_cluster->daemon(slot).backend->setReachable(!reads);
+            if (!reads)
+                others.push_back(slot);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, others.size());
+        m_cluster->time.advance(10s, [&] {
+            for (const std::size_t slot : others)
+                CPPUNIT_ASSERT(documents(slot).isConfirmed());
+        });
+    }
+
     void fleetWriteNeedsTheExpectedRevision()
     {
         wire::fleet_document document;
