Majorities over the largest number of daemons that anyone knows of

Cause: with five daemons running where three are expected, the stateful test found two halves that each took itself for a majority (falsified after 12 histories). Ruled out: only sharing the numbers heard; two processes that start cut off together have heard of nobody (still falsified after 12 histories). A list of members kept in the store; it would have to be changed in steps that each keep majorities crossing. Conclusion: the peers of the platform's list count as well as those heard, and heartbeats tell the number.

--- a/src/azurelb/config/confirmation.cpp
+++ b/src/azurelb/config/confirmation.cpp
@@ -64,7 +64,10 @@
 
 std::size_t confirmation::size() const noexcept
 {
-    return std::max<std::size_t>(m_options.expectedMembers, m_knownMembers);
+    std::size_t largest = std::max<std::size_t>(m_options.expectedMembers, m_knownMembers);
+    for (const auto &[id, report] : m_reports)
+        largest = std::max(largest, report.knownMembers);
+    return largest;
 }
 
 std::size_t confirmation::countHolders(const document_revisions &wanted, time_point now) const
--- a/src/azurelb/config/confirmation.hpp
+++ b/src/azurelb/config/confirmation.hpp
@@ -61,7 +61,8 @@
 
     [[nodiscard]] const document_revisions &held() const noexcept { return m_held; }
 
-    /** Number over which majorities are counted. */
+    /** Number over which majorities are counted: the largest that any daemon heard from knows of.
+     */
     [[nodiscard]] std::size_t size() const noexcept;
 
     [[nodiscard]] std::size_t majority() const noexcept { return size() / 2 + 1; }
--- a/src/azurelb/config/peer_report.hpp
+++ b/src/azurelb/config/peer_report.hpp
@@ -17,6 +17,8 @@
     bool learned{};
     /** Age of the peer's confirmation when it wrote the report; nothing if it has none. */
     std::optional<std::chrono::milliseconds> confirmationAge{};
+    /** VM names of daemons that the peer has heard of, its own included. */
+    std::size_t knownMembers{};
 };
 
 } // namespace azurelb
--- a/src/azurelb/config/replicated_documents.cpp
+++ b/src/azurelb/config/replicated_documents.cpp
@@ -297,6 +297,7 @@
     state.set_learned(m_confirmation->isLearned());
     state.set_store_revision(static_cast<std::int64_t>(m_storeRevision));
     state.set_store_unreachable(m_schedule->isStoreUnreachable());
+    state.set_known_members(static_cast<std::uint32_t>(m_membership->countKnown()));
     const auto &confirmedAt = m_confirmation->confirmedAt();
     if (!confirmedAt)
         return;
@@ -312,7 +313,8 @@
     peer_report report{writtenAfter,
                        {revision{state.config_revision()}, revision{state.fleet_revision()}},
                        state.learned(),
-                       std::nullopt};
+                       std::nullopt,
+                       state.known_members()};
     if (state.has_confirmation_age_ms())
         report.confirmationAge = std::chrono::milliseconds{state.confirmation_age_ms()};
     m_storeRevision = std::max(m_storeRevision, revision{state.store_revision()});
--- a/src/azurelb/membership/heartbeat_membership.hpp
+++ b/src/azurelb/membership/heartbeat_membership.hpp
@@ -54,7 +54,8 @@
     /** True if the member told that it shuts down. */
     [[nodiscard]] bool isLeaving(const member &id) const noexcept;
 
-    /** VM names heard of in the last minutes that did not leave, this one included. */
+    /** VM names that are peers or were heard in the last minutes and did not leave, and this one.
+     */
     [[nodiscard]] std::size_t countKnown() const;
 
     /** Sends what is due. The timer calls it; tests under virtual time call it in its place. */
--- a/src/azurelb/membership/heartbeat_table.cpp
+++ b/src/azurelb/membership/heartbeat_table.cpp
@@ -119,9 +119,14 @@
 std::size_t heartbeat_table::countKnown(time_point now) const
 {
     std::set<vm_id> vms{m_self.vm};
+    std::set<vm_id> left;
     for (const auto &[id, state] : m_members) {
-        if (!state.leaving && now - state.heardAt <= m_options.forgetAfter)
-            vms.insert(id.vm);
+        if (now - state.heardAt <= m_options.forgetAfter)
+            (state.leaving ? left : vms).insert(id.vm);
+    }
+    for (const auto &[vm, state] : m_peers) {
+        if (!left.contains(vm))
+            vms.insert(vm);
     }
     return vms.size();
 }
--- a/src/azurelb/membership/heartbeat_table.hpp
+++ b/src/azurelb/membership/heartbeat_table.hpp
@@ -67,7 +67,10 @@
     /** Peers whose connections are to be dialled anew; each again after redialAfter. */
     [[nodiscard]] std::vector<vm_id> takeSilent(time_point now);
 
-    /** Number of VM names heard within forgetAfter that did not leave, this one included. */
+    /**
+     * Number of VM names that are peers or were heard within forgetAfter and did not leave, this
+     * one included.
+     */
     [[nodiscard]] std::size_t countKnown(time_point now) const;
 
 private:
--- a/test/azurelb/config/cluster_figures_test.cpp
+++ b/test/azurelb/config/cluster_figures_test.cpp
@@ -100,7 +100,7 @@
 private:
     void begin(std::size_t size)
     {
-        m_cluster = std::make_unique<cluster_model>(size, 50ms);
+        m_cluster = std::make_unique<cluster_model>(size, size, 50ms);
         m_cluster->time.advance(5s);
         m_begin = m_cluster->time.now();
     }
--- a/test/azurelb/config/cluster_fuzz_test.cpp
+++ b/test/azurelb/config/cluster_fuzz_test.cpp
@@ -27,8 +27,8 @@
 class history
 {
 public:
-    explicit history(std::size_t size)
-        : m_cluster{size, 100ms}
+    history(std::size_t size, std::size_t expected)
+        : m_cluster{size, expected, 100ms}
     {
         wait(1s);
     }
@@ -227,7 +227,7 @@
         std::size_t committed = 0;
         CPPUNIT_ASSERT(rc::check("documents stay recent, nothing accepted is lost", [&] {
             const std::vector<command> steps = *histories();
-            history run{steps.size() % 2 == 0 ? 3U : 5U};
+            history run{steps.size() % 2 == 0 ? 3U : 5U, steps.size() % 3 == 0 ? 5U : 3U};
             for (const command &each : steps)
                 run.run(each);
             run.finish();
--- a/test/azurelb/config/cluster_model.hpp
+++ b/test/azurelb/config/cluster_model.hpp
@@ -95,13 +95,15 @@
 public:
     static constexpr std::chrono::microseconds oneWay{1500};
 
-    explicit cluster_model(std::size_t size, std::chrono::milliseconds tickPeriod)
+    /** The daemons expect to be as many as the number says, which may be fewer than there are. */
+    cluster_model(std::size_t size, std::size_t expected, std::chrono::milliseconds tickPeriod)
         : m_size{size}
         , m_tickPeriod{tickPeriod}
         , m_cut(size, std::vector<bool>(size, false))
         , m_daemons(size)
     {
         boost::log::core::get()->set_logging_enabled(false);
+        options.expectedMembers = static_cast<std::uint32_t>(expected);
         for (std::size_t slot = 0; slot < size; ++slot)
             start(slot);
     }
@@ -123,7 +125,6 @@
     void start(std::size_t slot)
     {
         kill(slot);
-        options.expectedMembers = static_cast<std::uint32_t>(m_size);
         auto made = std::make_shared<model_daemon>(*this, slot, incarnation{++m_started});
         m_daemons[slot] = made;
         m_all.push_back(made);
--- a/test/azurelb/membership/heartbeat_table_test.cpp
+++ b/test/azurelb/membership/heartbeat_table_test.cpp
@@ -62,6 +62,7 @@
         send(m_b, m_a);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_a.fresh(m_now).size());
         CPPUNIT_ASSERT(m_a.isLeaving(m_b.self()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_a.countKnown(m_now));
         CPPUNIT_ASSERT(m_b.fresh(m_now) == std::vector<member>{m_a.self()});
     }
 
@@ -127,6 +128,9 @@
 
     void countsKnownNames()
     {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_a.countKnown(m_now));
+        m_a.setPeers({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_a.countKnown(m_now));
         exchange();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_a.countKnown(m_now + 10min));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_a.countKnown(m_now + 11min));
