A daemon that leaves stays confirmed; state of lost peers is dropped

Cause: heartbeats of a leaving daemon were no longer answered, so that it lost its confirmation after 2 s while it still finished its work; and the states of killed processes were kept for ever. Ruled out: nothing. Conclusion: a leaving member is answered, but neither fresh nor a voter.

--- a/src/azurelb/config/replicated_documents.cpp
+++ b/src/azurelb/config/replicated_documents.cpp
@@ -23,6 +23,9 @@
 /** How often the timer looks for what is due. */
 constexpr std::chrono::milliseconds timerPeriod{50};
 
+/** Time for which a peer that no longer reports is remembered. */
+constexpr std::chrono::minutes peerKeptFor{1};
+
 /** Audit records that one write of the fleet may have; a transaction has at most 128 operations. */
 constexpr std::size_t maximumRecords{100};
 
@@ -147,7 +150,7 @@
 {
     const time_point now = m_clock.now();
     m_confirmation->setKnownMembers(m_membership->countKnown());
-    dropLeaving();
+    dropPeers(now);
     m_confirmation->advance(now);
     const std::vector<poll_candidate> fresh = candidates();
     const bool staysConfirmed = m_confirmation->isConfirmed(now + m_options.readPeriod);
@@ -318,7 +321,7 @@
     if (state.has_confirmation_age_ms())
         report.confirmationAge = std::chrono::milliseconds{state.confirmation_age_ms()};
     m_storeRevision = std::max(m_storeRevision, revision{state.store_revision()});
-    m_peers[from].storeUnreachable = state.store_unreachable();
+    m_peers[from] = {state.store_unreachable(), now};
     if (!m_documents.revisions().covers(report.held))
         m_metrics->fetches.Increment(m_exchange->fetch(from.vm, report.held, now) ? 1 : 0);
     m_confirmation->setKnownMembers(m_membership->countKnown());
@@ -327,13 +330,13 @@
     publish();
 }
 
-void replicated_documents::dropLeaving()
+void replicated_documents::dropPeers(time_point now)
 {
-    std::erase_if(m_peers, [this](const auto &each) {
+    std::erase_if(m_peers, [this, now](const auto &each) {
         const bool leaving = m_membership->isLeaving(each.first);
         if (leaving)
             m_confirmation->onLeave(each.first);
-        return leaving;
+        return leaving || now - each.second.reportedAt > peerKeptFor;
     });
 }
 
--- a/src/azurelb/config/replicated_documents.hpp
+++ b/src/azurelb/config/replicated_documents.hpp
@@ -66,6 +66,7 @@
     struct peer_state
     {
         bool storeUnreachable{false};
+        time_point reportedAt{};
     };
 
     // write_environment
@@ -85,7 +86,7 @@
 
     void writeState(wire::replica_state &state) const;
     void onReport(const member &from, time_point writtenAfter, const wire::replica_state &state);
-    void dropLeaving();
+    void dropPeers(time_point now);
 
     void afterApplying();
     void publish();
--- a/src/azurelb/membership/heartbeat_table.cpp
+++ b/src/azurelb/membership/heartbeat_table.cpp
@@ -72,11 +72,11 @@
     if (from == m_self)
         return std::nullopt;
     entry &sender = m_members[from];
-    if (sender.leaving || heartbeat.sequence() <= sender.lastSequence)
+    if (heartbeat.sequence() <= sender.lastSequence)
         return std::nullopt;
     sender.lastSequence = heartbeat.sequence();
     sender.heardAt = now;
-    sender.leaving = heartbeat.leaving();
+    sender.leaving = sender.leaving || heartbeat.leaving();
     const std::optional<time_point> answersSentAt = answered(heartbeat);
     if (!answersSentAt || sender.leaving)
         return std::nullopt;
--- a/test/azurelb/config/cluster_figures_test.cpp
+++ b/test/azurelb/config/cluster_figures_test.cpp
@@ -31,7 +31,7 @@
             const std::uint64_t bytes = countBytes();
             m_cluster->time.advance(10s);
             const double perSecond = static_cast<double>(countCalls() - calls) / 10;
-            const double bytesEach = static_cast<double>(countBytes() - bytes) / 10 / size;
+            const double bytesEach = static_cast<double>((countBytes() - bytes) / size) / 10;
             std::cerr << ' ' << size << " daemons: " << perSecond << " store calls a second, "
                       << bytesEach << " bytes a second each\n";
             CPPUNIT_ASSERT(perSecond <= 6);
@@ -121,7 +121,7 @@
         return bytes;
     }
 
-    double sinceBegin(time_point at) const
+    [[nodiscard]] double sinceBegin(time_point at) const
     {
         return std::chrono::duration<double, std::milli>(at - m_begin).count();
     }
--- a/test/azurelb/config/cluster_scenario_test.cpp
+++ b/test/azurelb/config/cluster_scenario_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(allRestartedWithoutStoreStayUnconfirmed);
     CPPUNIT_TEST(readingMovesToADaemonThatReachesTheStore);
     CPPUNIT_TEST(daemonThatNobodyConfirmsReadsByItself);
+    CPPUNIT_TEST(leavingDaemonStaysConfirmed);
     CPPUNIT_TEST(fleetWriteNeedsTheExpectedRevision);
     CPPUNIT_TEST(auditIsListedNewestFirst);
     CPPUNIT_TEST(oldAuditRecordsAreDeleted);
@@ -211,6 +212,15 @@
         });
     }
 
+    void leavingDaemonStaysConfirmed()
+    {
+        m_cluster->faults.mode = store_mode::refusing;
+        m_cluster->daemon(1).members->leave();
+        m_cluster->time.advance(30s, [&] { CPPUNIT_ASSERT(documents(1).isConfirmed()); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, m_cluster->daemon(0).members->fresh().size());
+        CPPUNIT_ASSERT(documents(0).isConfirmed());
+    }
+
     void fleetWriteNeedsTheExpectedRevision()
     {
         wire::fleet_document document;
