Processes replaced under one name in the stateful test

Cause: two processes under one VM name were in no test; answers to old questions of a replaced process blocked its VM's vote for a minute. Ruled out: nothing. In confirmation_test, taking only the last process's word fails namesWithDisagreeingProcessesDoNotVote, storing old answers fails answersToOldQuestionsDoNotBlock; the stateful test sees neither.

--- a/src/azurelb/config/confirmation.cpp
+++ b/src/azurelb/config/confirmation.cpp
@@ -37,6 +37,8 @@
 
 void confirmation::onPeerReport(const member &from, const peer_report &report, time_point now)
 {
+    if (now - report.writtenAfter > reportKeptFor)
+        return;
     const auto [known, isNew] = m_reports.try_emplace(from, report);
     if (!isNew && known->second.writtenAfter <= report.writtenAfter)
         known->second = report;
--- a/test/azurelb/config/cluster_fuzz_test.cpp
+++ b/test/azurelb/config/cluster_fuzz_test.cpp
@@ -175,6 +175,12 @@
 
     void restart(std::size_t slot, unsigned) { m_cluster.start(slot); }
 
+    void replace(std::size_t slot, unsigned number)
+    {
+        resume(slot, number);
+        m_cluster.replace(slot);
+    }
+
     void disturb(std::size_t, unsigned number)
     {
         m_cluster.faults.lostPercent = number % 3 == 0 ? 30 : 0;
@@ -192,6 +198,7 @@
         &history::pause,     &history::resume,  &history::resume,   &history::kill,
         &history::restart,   &history::restart, &history::disturb,  &history::heal,
         &history::heal,      &history::heal,    &history::defect,   &history::splitAndDefect,
+        &history::replace,
     };
 
     cluster_model m_cluster;
--- a/test/azurelb/config/cluster_model.hpp
+++ b/test/azurelb/config/cluster_model.hpp
@@ -144,6 +144,31 @@
         m_daemons[slot]->held.clear();
     }
 
+    /**
+     * Starts a process under the same name while the old one goes on: it sends and reaches the
+     * store as before, but messages to the name go to the new one.
+     */
+    void replace(std::size_t slot)
+    {
+        if (!m_daemons[slot]->dead)
+            m_replaced.push_back(m_daemons[slot]);
+        m_daemons[slot] = nullptr;
+        start(slot);
+    }
+
+    /** All processes that have not been killed. */
+    [[nodiscard]] std::vector<model_daemon *> processes() const
+    {
+        std::vector<model_daemon *> alive;
+        for (const auto *list : {&m_daemons, &m_replaced}) {
+            for (const auto &each : *list) {
+                if (!each->dead)
+                    alive.push_back(each.get());
+            }
+        }
+        return alive;
+    }
+
     void resume(std::size_t slot)
     {
         model_daemon &resumed = daemon(slot);
@@ -160,6 +185,8 @@
         faults.mode = store_mode::up;
         faults.lostPercent = faults.repeatedPercent = faults.latePercent = 0;
         m_cut.assign(m_size, std::vector<bool>(m_size, false));
+        for (const auto &each : std::exchange(m_replaced, {}))
+            each->dead = true;
         for (std::size_t slot = 0; slot < m_size; ++slot) {
             if (daemon(slot).dead)
                 start(slot);
@@ -212,6 +239,7 @@
     /** Killed processes too: their calls may still take effect in the store. */
     std::vector<std::shared_ptr<model_daemon>> m_all{};
     std::uint64_t m_started{0};
+    std::vector<std::shared_ptr<model_daemon>> m_replaced{};
 };
 
 inline model_transport::model_transport(cluster_model &cluster, std::size_t slot, incarnation id)
--- a/test/azurelb/config/cluster_oracle.hpp
+++ b/test/azurelb/config/cluster_oracle.hpp
@@ -65,8 +65,8 @@
             raise(m_required, m_accepted.front().held);
             m_accepted.pop_front();
         }
-        for (std::size_t slot = 0; slot < m_cluster.size(); ++slot)
-            checkDaemon(m_cluster.daemon(slot));
+        for (model_daemon *each : m_cluster.processes())
+            checkDaemon(*each);
     }
 
     /** Checks the store against all that was told. Call once nothing is under way. */
--- a/test/azurelb/config/confirmation_test.cpp
+++ b/test/azurelb/config/confirmation_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(waitsForWhatAPeerHasMore);
     CPPUNIT_TEST(countsAPeerOnlyOnceItHasLearned);
     CPPUNIT_TEST(namesWithDisagreeingProcessesDoNotVote);
+    CPPUNIT_TEST(answersToOldQuestionsDoNotBlock);
     CPPUNIT_TEST(leavingMembersDoNotVote);
     CPPUNIT_TEST(sizeIsTheLargestThatAnyoneKnows);
     CPPUNIT_TEST(oldReportsProveNoHolder);
@@ -77,14 +78,24 @@
         m_confirmation.onStoreRead(m_start);
         peer_report twin = voter(5s);
         twin.learned = false;
-        m_confirmation.onPeerReport({vm_id{"vm-1"}, incarnation{9}}, twin, m_start + 5s);
+        m_confirmation.onPeerReport({vm_id{"vm-1"}, incarnation{0}}, twin, m_start + 5s);
         report(1, voter(5s), m_start + 5s);
         CPPUNIT_ASSERT(*m_confirmation.confirmedAt() == m_start);
-        m_confirmation.onLeave({vm_id{"vm-1"}, incarnation{9}});
+        m_confirmation.onLeave({vm_id{"vm-1"}, incarnation{0}});
         m_confirmation.advance(m_start + 5s);
         CPPUNIT_ASSERT(*m_confirmation.confirmedAt() == m_start + 5s);
     }
 
+    void answersToOldQuestionsDoNotBlock()
+    {
+        m_confirmation.onStoreRead(m_start);
+        peer_report twin = voter(1s);
+        twin.learned = false;
+        m_confirmation.onPeerReport({vm_id{"vm-1"}, incarnation{0}}, twin, m_start + 7s);
+        report(1, voter(7s), m_start + 7s);
+        CPPUNIT_ASSERT(*m_confirmation.confirmedAt() == m_start + 7s);
+    }
+
     void leavingMembersDoNotVote()
     {
         m_confirmation.onStoreRead(m_start);
