--- a/src/azurelb/share/dispatcher.cpp
+++ b/src/azurelb/share/dispatcher.cpp
@@ -226,7 +226,6 @@
     assignFree();
     m_isChanged = false;
     m_lastPlan = now;
-    return;
 }
 
 bool dispatcher::isDue(const daemon_state &daemon, time_point now) const
