--- a/src/azurelb/share/dispatcher.cpp
+++ b/src/azurelb/share/dispatcher.cpp
@@ -223,9 +223,9 @@
     setWanted(now);
     assignFree();
     recallForWaiting();
+    assignFree();
     m_isChanged = false;
     m_lastPlan = now;
-    return;
 }
 
 bool dispatcher::isDue(const daemon_state &daemon, time_point now) const
