--- a/src/azurelb/fleet/fwd.hpp
+++ b/src/azurelb/fleet/fwd.hpp
@@ -31,6 +31,9 @@
 class fleet_draft;
 class planner_memory;
 class planner;
+class vm_reporter;
+class connect_reporter;
+class planner_service;
 class demand_tracker;
 struct lasting_demand;
 
--- /dev/null
+++ b/src/azurelb/fleet/planner_service.cpp
@@ -0,0 +1,184 @@
+#include <azurelb/fleet/planner_service.hpp>
+
+#include <azurelb/config/change_outcome.hpp>
+#include <azurelb/config/config_view.hpp>
+#include <azurelb/config/document_source.hpp>
+#include <azurelb/config/fleet_view.hpp>
+#include <azurelb/core/kernel.hpp>
+#include <azurelb/core/rendezvous.hpp>
+#include <azurelb/fleet/availability.hpp>
+#include <azurelb/fleet/vm_index.hpp>
+#include <azurelb/log/log.hpp>
+#include <azurelb/membership/member.hpp>
+#include <azurelb/membership/membership.hpp>
+#include <azurelb/metrics/metrics.hpp>
+#include <azurelb/peer/peer_transport.hpp>
+#include <azurelb/platform/vm_controls.hpp>
+#include <azurelb/platform/vm_list_source.hpp>
+
+#include <prometheus/gauge.h>
+
+#include <vector>
+
+namespace azurelb {
+
+namespace {
+
+constexpr std::chrono::seconds stepTime{1};
+
+void logRecords(const plan_step &made)
+{
+    for (const wire::audit_record &record : made.records) {
+        logEvent(
+            event::fleet_changed,
+            {{"verb", record.verb()}, {"entity", record.entity()}, {"reason", record.reason()}});
+    }
+}
+
+} // namespace
+
+planner_service::planner_service(boost::asio::io_context &loop, const clock_source &clock,
+                                 vm_reporter &reporter, const fleet_options &options)
+    : m_clock{clock}
+    , m_reporter{reporter}
+    , m_options{options}
+    , m_planner{options}
+    , m_timer{loop}
+{ }
+
+planner_service::~planner_service() = default;
+
+void planner_service::start(kernel &services)
+{
+    m_documents = &services.find<document_source>(document_source::serviceName);
+    m_lists = &services.find<vm_list_source>(vm_list_source::serviceName);
+    m_controls = &services.find<vm_controls>(vm_controls::serviceName);
+    m_members = &services.find<membership>(membership::serviceName);
+    m_peers = &services.find<peer_transport>(peer_transport::serviceName);
+    m_metrics = &services.find<metrics>(metrics::serviceName);
+    wait();
+}
+
+void planner_service::stop() noexcept
+{
+    m_alive.reset();
+    m_timer.cancel();
+}
+
+void planner_service::wait()
+{
+    m_timer.expires_after(stepTime);
+    m_timer.async_wait([this](const boost::system::error_code &failure) {
+        if (failure)
+            return;
+        step();
+        wait();
+    });
+}
+
+/** The age of a list counts from the step that first saw it. */
+void planner_service::takeList()
+{
+    const vm_list_ptr newest = m_lists->list();
+    if (newest == m_list)
+        return;
+    m_list = newest;
+    m_listedAt = m_clock.now();
+}
+
+void planner_service::choosePlanner()
+{
+    std::vector<vm_id> vms;
+    for (const member &each : m_members->fresh())
+        vms.push_back(each.vm);
+    const vm_id *owner = rendezvousOwner(vms, serviceName);
+    const bool isPlanning = owner && *owner == m_peers->self();
+    if (isPlanning == m_isPlanning)
+        return;
+    m_isPlanning = isPlanning;
+    logEvent(event::planner_changed, {{"planning", isPlanning ? "yes" : "no"}});
+}
+
+std::string planner_service::nextStepId()
+{
+    const auto process = static_cast<std::uint64_t>(m_peers->selfIncarnation());
+    return "plan-" + m_peers->self().value() + "-" + std::to_string(process) + "-"
+        + std::to_string(++m_steps);
+}
+
+void planner_service::step()
+{
+    takeList();
+    choosePlanner();
+    if (!m_isPlanning || m_isCommitting || !m_list || !m_documents->isConfirmed())
+        return;
+    const config_view_ptr config = m_documents->config();
+    const fleet_view_ptr fleet = m_documents->fleet();
+    m_reporter.refresh(fleet->document(), *m_list);
+    const std::vector<vm_observation> observations = m_reporter.observe();
+    const std::vector<queue_demand> demand = m_reporter.demand();
+    showMetrics(config->document(), fleet->document());
+    plan_step made =
+        m_planner.plan({config->document(), config->at(), fleet->document(), *m_list, m_listedAt,
+                        observations, demand, m_clock.now(), m_clock.wallNow(), nextStepId()});
+    if (made.document)
+        commit(std::move(made), fleet);
+}
+
+void planner_service::commit(plan_step made, const fleet_view_ptr &fleet)
+{
+    m_isCommitting = true;
+    const time_point sent = m_clock.now();
+    const auto kept = std::make_shared<const plan_step>(std::move(made));
+    const auto done = [this, kept, sent, alive = std::weak_ptr{m_alive}](const auto &outcome) {
+        if (!alive.expired())
+            committed(*kept, sent, outcome);
+    };
+    m_documents->replaceFleet(*kept->document, fleet->at(), kept->records, done);
+}
+
+void planner_service::committed(const plan_step &made, time_point sent,
+                                const fleet_outcome &outcome)
+{
+    m_isCommitting = false;
+    if (outcome.error != change_error::none) {
+        logEvent(event::fleet_not_written, {{"detail", outcome.detail}});
+        return;
+    }
+    logRecords(made);
+    for (const reboot_action &order : made.reboots) {
+        if (isDue(sent, m_options, m_clock.now()))
+            give(order);
+    }
+}
+
+void planner_service::give(const reboot_action &order)
+{
+    const auto done = [vm = order.vm](control_outcome outcome) {
+        const bool isAccepted = outcome == control_outcome::accepted;
+        logEvent(isAccepted ? event::reboot_ordered : event::reboot_not_ordered,
+                 {{"target", vm.value()}, {"outcome", toString(outcome)}});
+    };
+    m_controls->reboot(order.vm, done);
+}
+
+void planner_service::showMetrics(const wire::config_document &config,
+                                  const wire::fleet_document &fleet)
+{
+    const vm_index index{*m_list};
+    const availability counts{config, fleet, index};
+    for (const wire::pool &pool : config.pools()) {
+        const pool_count &count = counts.find(pool.name());
+        const metrics::labels labels{{"pool", pool.name()}};
+        m_metrics->gauge("azurelb_fleet_available_vms", "VMs that serve the pool", labels)
+            .Set(count.available);
+        const double left = static_cast<double>(pool.unavailable_vms()) - count.unavailable();
+        m_metrics
+            ->gauge("azurelb_fleet_budget_left", "VMs that may still become unavailable", labels)
+            .Set(left);
+    }
+    m_metrics->gauge("azurelb_fleet_moves", "Moves of VMs in the last hour")
+        .Set(fleet.recent_moves_ms_size());
+}
+
+} // namespace azurelb
--- a/src/azurelb/fleet/size_pools.cpp
+++ b/src/azurelb/fleet/size_pools.cpp
@@ -86,7 +86,7 @@
 {
     const wire::preference &weights = draft.input().config.preferences();
     const std::uint32_t reduced = std::min(weights.moves(), mostPreference);
-    const auto most = std::max(draft.options().movesAnHour - reduced, 2U);
+    const std::uint32_t most = std::max(draft.options().movesAnHour, reduced + 2) - reduced;
     return static_cast<std::uint32_t>(draft.document().recent_moves_ms_size()) < most;
 }
 
