--- a/test/azurelb/config/cluster_figures_test.cpp
+++ b/test/azurelb/config/cluster_figures_test.cpp
@@ -31,7 +31,8 @@
             const std::uint64_t bytes = countBytes();
             m_cluster->time.advance(10s);
             const double perSecond = static_cast<double>(countCalls() - calls) / 10;
-            const double bytesEach = static_cast<double>((countBytes() - bytes) / size) / 10;
+            const double bytesEach =
+                static_cast<double>(countBytes() - bytes) / 10 / static_cast<double>(size);
             std::cerr << ' ' << size << " daemons: " << perSecond << " store calls a second, "
                       << bytesEach << " bytes a second each\n";
             CPPUNIT_ASSERT(perSecond <= 6);
