--- a/src/azurelb/limits/departure_source.hpp
+++ b/src/azurelb/limits/departure_source.hpp
@@ -16,7 +16,8 @@
     /**
      * True if the platform's list shows that the machine on which this incarnation ran is gone or
      * has been replaced: listed before, then not, for longer than the lag of the list. A silent
-     * daemon is not gone, nor is one whose name a second daemon uses. Once true it stays true.
+     * daemon is not gone, nor is one whose name a second daemon uses. A daemon
+     * that was restarted on a VM that stays need not be told: its successor shows it.
      */
     [[nodiscard]] virtual bool isGone(const member &daemon) const = 0;
 };
--- a/src/azurelb/limits/rights_balance.cpp
+++ b/src/azurelb/limits/rights_balance.cpp
@@ -68,12 +68,26 @@
     }
 }
 
+/** True if a holder that shall have rights has none, so that small differences matter. */
+bool isAnyWithout(const balance_request &request, const std::vector<right_count> &targets)
+{
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        if (targets[index] > 0 && request.reports[index].holdings == 0)
+            return true;
+    }
+    return false;
+}
+
 /** Rights that a holder can give without falling below its target. */
-right_count surplusOf(const holder_report &report, right_count target, right_count excess)
+right_count surplusOf(const holder_report &report, right_count target, bool isIdleOnly,
+                      bool isStrict)
 {
-    const right_count surplus = report.holdings - target;
-    const bool small = report.load > 0 && excess == 0 && surplus <= target / slackDivisor;
-    return small ? 0 : surplus;
+    if (isStrict)
+        return report.holdings - target;
+    const right_count kept = isIdleOnly ? std::max(target, report.load) : target;
+    const right_count surplus = report.holdings - kept;
+    const right_count slack = std::max<right_count>(1, target / slackDivisor);
+    return report.load > 0 && surplus <= slack ? 0 : surplus;
 }
 
 std::vector<rights_transfer> match(std::vector<side> givers, std::vector<side> takers)
@@ -120,13 +134,14 @@
 std::vector<rights_transfer> balanceRights(const balance_request &request)
 {
     const std::vector<right_count> targets = targetHoldings(request);
+    const bool isStrict = request.excess > 0 || isAnyWithout(request, targets);
     std::vector<side> givers;
     std::vector<side> takers;
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const holder_report &report = request.reports[index];
         const bool collects = report.holder == request.collector;
         const right_count target = targets[index] + (collects ? request.excess : 0);
-        const right_count surplus = surplusOf(report, target, request.excess);
+        const right_count surplus = surplusOf(report, target, request.isIdleOnly, isStrict);
         if (surplus > 0)
             givers.push_back({report.holder, surplus});
         if (report.holdings < target)
--- a/src/azurelb/limits/rights_balance.hpp
+++ b/src/azurelb/limits/rights_balance.hpp
@@ -18,6 +18,8 @@
     member collector{};
     /** Chooses who comes first when there are fewer rights than holders that want one. */
     std::size_t rotation{};
+    /** True if only rights above the holder's load move, but for collected and first rights. */
+    bool isIdleOnly{};
 };
 
 /**
@@ -29,8 +31,9 @@
 
 /**
  * Transfers that bring the holdings towards the targets. Idle rights stay where they are until
- * someone has need of them; a loaded holder gives only if its excess over the target is more than
- * a sixteenth, so that small changes of load move nothing.
+ * someone has need of them. A loaded holder gives only what exceeds its target by more than one
+ * and more than a sixteenth, so that small changes of load move nothing, unless rights must be
+ * collected or a holder that should have some has none.
  */
 [[nodiscard]] std::vector<rights_transfer> balanceRights(const balance_request &request);
 
--- a/src/azurelb/limits/rights_balancer.cpp
+++ b/src/azurelb/limits/rights_balancer.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** How long a holder keeps the only right of a team before another one's turn comes. */
-constexpr std::chrono::seconds rotationPeriod{1};
-
 rights_balancer::orders toOrders(const team_name &team,
                                  const std::vector<rights_transfer> &transfers,
                                  const std::map<member, std::uint64_t> &sequences)
@@ -49,15 +46,13 @@
 rights_balancer::orders rights_balancer::balance(const team_name &team, right_count excess,
                                                  const member &collector,
                                                  const std::vector<member> &fresh,
-                                                 duration interval, duration reportAge,
-                                                 time_point now)
+                                                 const rights_options &options, time_point now)
 {
     team_state &state = m_teams[team];
-    if (now - state.orderedAt < interval)
+    if (now - state.orderedAt < options.resend)
         return {};
-    rotate(state, now);
     std::erase_if(state.reports,
-                  [&](const auto &entry) { return now - entry.second.at > reportAge; });
+                  [&](const auto &entry) { return now - entry.second.at > options.reportAge; });
     std::vector<holder_report> reports;
     std::map<member, std::uint64_t> sequences;
     for (const member &holder : fresh) {
@@ -66,18 +61,15 @@
         reports.push_back(known ? found->second.report : holder_report{holder});
         sequences[holder] = reports.back().sequence;
     }
-    const auto transfers = balanceRights({reports, excess, collector, state.rotation});
+    const bool isFull = now - state.balancedAt >= options.refresh;
+    if (isFull) {
+        state.balancedAt = now;
+        ++state.rotation;
+    }
+    const auto transfers = balanceRights({reports, excess, collector, state.rotation, !isFull});
     if (!transfers.empty())
         state.orderedAt = now;
     return toOrders(team, transfers, sequences);
 }
 
-void rights_balancer::rotate(team_state &state, time_point now)
-{
-    if (now - state.rotatedAt < rotationPeriod)
-        return;
-    state.rotatedAt = now;
-    ++state.rotation;
-}
-
 } // namespace azurelb
--- a/src/azurelb/limits/rights_balancer.hpp
+++ b/src/azurelb/limits/rights_balancer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azurelb/limits/holder_report.hpp>
+#include <azurelb/limits/rights_options.hpp>
 #include <azurelb/limits/rights_transfer.hpp>
 
 #include <azurelb/wire/limits.pb.h>
@@ -30,12 +31,13 @@
     [[nodiscard]] std::vector<team_name> teams() const;
 
     /**
-     * The orders due for a team. Empty if the last ones are younger than the interval, whose
-     * effect the reports do not show yet.
+     * The orders due for a team. Empty if the last ones are so young that the reports do not show
+     * their effect yet. Idle rights move at once, rights that their holders want too once in a
+     * refresh interval.
      */
     [[nodiscard]] orders balance(const team_name &team, right_count excess, const member &collector,
-                                 const std::vector<member> &fresh, duration interval,
-                                 duration reportAge, time_point now);
+                                 const std::vector<member> &fresh, const rights_options &options,
+                                 time_point now);
 
 private:
     struct heard_report
@@ -48,12 +50,11 @@
     {
         std::map<member, heard_report> reports{};
         time_point orderedAt{};
+        /** Counts full balances, which move also rights that are not idle. */
         std::size_t rotation{};
-        time_point rotatedAt{};
+        time_point balancedAt{};
     };
 
-    static void rotate(team_state &state, time_point now);
-
     std::map<team_name, team_state> m_teams{};
 };
 
--- a/src/azurelb/limits/rights_ledger.cpp
+++ b/src/azurelb/limits/rights_ledger.cpp
@@ -11,7 +11,8 @@
                              const departure_source &departures)
     : m_options{options}
     , m_account{std::move(self)}
-    , m_peers{m_account, departures}
+    , m_peers{m_account, departures, options.succession}
+    , m_proof{options.proofAge}
 { }
 
 bool rights_ledger::acquire(const team_name &team, time_point now)
@@ -37,6 +38,8 @@
     demand.waiting = waiting;
     if (begins && now - demand.reportedAt < m_options.resend)
         demand.reportedAt = now - m_options.resend;
+    if (begins)
+        demand.reportInterval = m_options.resend;
 }
 
 void rights_ledger::setFresh(const std::vector<member> &fresh)
@@ -53,9 +56,6 @@
 
 void rights_ledger::setConfirmed(bool confirmed)
 {
-    // While it was cut off, this daemon may have been declared gone.
-    if (confirmed && !m_confirmed)
-        invalidate(m_lastTick);
     m_confirmed = confirmed;
 }
 
@@ -78,8 +78,8 @@
 {
     adopt(document, at);
     const bool current = at == m_account.at() && at != revision{};
-    if (current && begun >= m_invalidatedAt && m_account.isListed(m_account.self()))
-        m_proof.prove();
+    if (current && m_account.isListed(m_account.self()))
+        m_proof.prove(begun);
 }
 
 std::optional<wire::rights_document> rights_ledger::plan(time_point now)
@@ -89,7 +89,7 @@
     rights_plan plan;
     plan.self = m_account.self();
     plan.limits = m_limits;
-    m_peers.fill(plan, now, m_options.hold);
+    m_peers.fill(plan, now, m_options.hold + m_options.proofAge);
     closing_nets &own = plan.statements[plan.self];
     for (const member &closed : closing())
         own[closed] = m_account.net(closed);
@@ -105,8 +105,7 @@
 
 bool rights_ledger::isUsable(time_point now) const
 {
-    return m_confirmed && m_proof.isValid() && !isClosed()
-        && now - m_lastTick <= m_options.longestGap;
+    return m_confirmed && m_proof.isValid(now) && !isClosed();
 }
 
 right_count rights_ledger::free(const team_name &team) const
@@ -152,20 +151,6 @@
     return result;
 }
 
-void rights_ledger::noteTime(time_point now)
-{
-    if (now - m_lastTick > m_options.longestGap)
-        invalidate(now);
-}
-
-void rights_ledger::invalidate(time_point now)
-{
-    m_proof.invalidate();
-    m_invalidatedAt = now;
-    for (const member &peer : m_peers.active())
-        m_peers.at(peer).helloSent = {};
-}
-
 right_count rights_ledger::excess(const team_name &team) const
 {
     const auto minted = m_minted.find(team);
--- a/src/azurelb/limits/rights_ledger.hpp
+++ b/src/azurelb/limits/rights_ledger.hpp
@@ -100,12 +100,11 @@
 private:
     using outbox = std::map<member, wire::rights_message>;
 
-    void noteTime(time_point now);
-    void invalidate(time_point now);
     [[nodiscard]] right_count excess(const team_name &team) const;
     void hearReports(const member &from, const wire::rights_message &message, time_point now);
     void hearAddressed(const member &from, const wire::rights_message &message, time_point now);
     void execute(const wire::rights_order &order, time_point now);
+    void tellClosing();
     [[nodiscard]] wire::rights_message refusal(const member &peer) const;
     right_count give(const member &to, const team_name &team, right_count most);
     void payOwed(const team_name &team, team_demand &demand);
@@ -126,7 +125,7 @@
     rights_account m_account;
     rights_peers m_peers;
     rights_balancer m_balancer{};
-    rights_proof m_proof{};
+    rights_proof m_proof;
     rights_limits m_limits{};
     wire::rights_document m_document{};
     team_counts m_minted{};
@@ -135,8 +134,7 @@
     bool m_introducing{false};
     std::map<team_name, team_demand> m_demands{};
     std::map<team_name, member> m_balancers{};
-    time_point m_lastTick{};
-    time_point m_invalidatedAt{};
+    time_point m_updatedAt{};
     right_count m_moved{};
     bool m_confirmed{false};
     bool m_leaving{false};
--- a/src/azurelb/limits/rights_ledger_messages.cpp
+++ b/src/azurelb/limits/rights_ledger_messages.cpp
@@ -3,6 +3,7 @@
 #include <azurelb/core/rendezvous.hpp>
 #include <azurelb/limits/rights_wire.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -13,13 +14,17 @@
 using internal::fromWire;
 using internal::toWire;
 
-/** Change of load that is worth a report: an eighth, or the first and last of it. */
+/** The first or the last load: rights must come, or all can go. */
+bool isLoadSwitched(const holder_report &last, const holder_report &now)
+{
+    return (last.load == 0) != (now.load == 0);
+}
+
+/** Change of load by more than one and more than an eighth. */
 bool isLoadChanged(const holder_report &last, const holder_report &now)
 {
     constexpr right_count divisor{8};
-    if ((last.load == 0) != (now.load == 0))
-        return true;
-    return std::abs(now.load - last.load) > last.load / divisor;
+    return std::abs(now.load - last.load) > std::max<right_count>(1, last.load / divisor);
 }
 
 bool isEmpty(const holder_report &report)
@@ -31,7 +36,6 @@
 
 void rights_ledger::receive(const member &from, const wire::rights_message &message, time_point now)
 {
-    noteTime(now);
     if (message.has_document())
         adopt(message.document(), revision{message.revision()});
     m_peers.hear(from, message);
@@ -61,10 +65,9 @@
     if (message.nonce() != 0)
         peer.echoDue = message.nonce();
     const bool current = message.revision() <= static_cast<std::int64_t>(m_account.at());
-    if (message.echo() != 0 && !message.gone() && current) {
-        const bool listed = m_account.isListed(from);
-        const int registered = listed ? m_document.holders_size() : 0;
-        m_proof.hear(from, message.echo(), message.proved(), static_cast<std::size_t>(registered));
+    if (message.echo() != 0 && !message.gone() && current && m_account.isListed(from)) {
+        const auto listed = static_cast<std::size_t>(m_document.holders_size());
+        m_proof.hear(from, message.echo(), message.proved(), listed);
     }
     for (const wire::team_count &each : message.received())
         m_account.acknowledge(from, team_name{each.team()}, each.count());
@@ -95,10 +98,13 @@
 
 std::vector<outgoing_rights> rights_ledger::tick(time_point now)
 {
-    noteTime(now);
-    m_lastTick = now;
-    m_peers.update(now);
+    if (now - m_updatedAt >= m_options.refresh) {
+        m_updatedAt = now;
+        m_peers.update(now);
+        tellClosing();
+    }
     m_introducing = !m_peers.unregistered().empty();
+    m_proof.update(now);
     advanceDemands(now);
     outbox out;
     report(out, now);
@@ -115,6 +121,14 @@
     return messages;
 }
 
+void rights_ledger::tellClosing()
+{
+    if (!isCoordinator())
+        return;
+    for (const member &peer : closing())
+        m_refused.insert(peer);
+}
+
 wire::rights_message rights_ledger::refusal(const member &peer) const
 {
     wire::rights_message message;
@@ -171,11 +185,15 @@
     const holder_report &last = demand.reported;
     const bool moved = report.holdings != last.holdings || report.sequence != last.sequence
         || balancer != demand.reportedTo;
-    const bool pressing = demand.waiting > 0 || isLoadChanged(last, report);
     const duration age = now - demand.reportedAt;
-    const bool due = moved || (pressing && age >= m_options.resend) || age >= m_options.refresh;
+    if (moved || isLoadSwitched(last, report))
+        demand.reportInterval = m_options.resend;
+    else if (isLoadChanged(last, report))
+        demand.reportInterval = std::min(demand.reportInterval, m_options.report);
+    const bool due = moved || age >= demand.reportInterval || age >= m_options.refresh;
     if (!due || (isEmpty(report) && isEmpty(last)))
         return;
+    demand.reportInterval = std::min(2 * demand.reportInterval, m_options.refresh);
     demand.reported = report;
     demand.reportedAt = now;
     demand.reportedTo = balancer;
@@ -197,9 +215,8 @@
             m_balancer.forget(team);
             continue;
         }
-        const auto orders =
-            m_balancer.balance(team, excess(team), m_peers.coordinator(), m_peers.fresh(),
-                               m_options.resend, m_options.reportAge, now);
+        const auto orders = m_balancer.balance(team, excess(team), m_peers.coordinator(),
+                                               m_peers.fresh(), m_options, now);
         for (const auto &[holder, each] : orders) {
             if (holder == m_account.self())
                 execute(each, now);
@@ -235,7 +252,7 @@
         return true;
     const member &coordinator = m_peers.coordinator();
     const bool star = peer == coordinator || m_account.self() == coordinator;
-    const bool wanted = star || !m_proof.isValid() || m_introducing;
+    const bool wanted = star || m_introducing || m_proof.isUnanswered(now, m_options.refresh);
     return wanted && now - state.helloSent >= m_options.refresh;
 }
 
@@ -250,7 +267,7 @@
     }
     for (const member &each : m_peers.unregistered())
         toWire(each, *message.add_unregistered());
-    message.set_nonce(m_proof.isValid() ? 0 : m_proof.nonce());
+    message.set_nonce(m_proof.nonce());
     message.set_echo(state.echoDue);
     message.set_gone(m_peers.isGone(peer));
     message.set_proved(isUsable(now));
--- a/src/azurelb/limits/rights_peer.hpp
+++ b/src/azurelb/limits/rights_peer.hpp
@@ -15,7 +15,11 @@
     /** Daemons that the peer knows and its document does not list. */
     std::set<member> unregistered{};
     closing_nets statements{};
+    /** Since when there is no recent heartbeat. */
+    std::optional<time_point> silentSince{};
     std::optional<time_point> goneSince{};
+    /** Since when every other holder has stated its exchanges with this one, which is gone. */
+    std::optional<time_point> settledSince{};
     /** Nonce to return with the next message; 0 if none. */
     std::uint64_t echoDue{};
     /** Teams whose received number is to be acknowledged. */
--- a/src/azurelb/limits/rights_peers.cpp
+++ b/src/azurelb/limits/rights_peers.cpp
@@ -8,15 +8,18 @@
 
 namespace azurelb {
 
-rights_peers::rights_peers(const rights_account &account, const departure_source &departures)
+rights_peers::rights_peers(const rights_account &account, const departure_source &departures,
+                           duration succession)
     : m_account{account}
     , m_departures{departures}
+    , m_succession{succession}
     , m_fresh{account.self()}
 { }
 
 void rights_peers::setFresh(const std::vector<member> &fresh)
 {
     m_heartbeats = fresh;
+    std::sort(m_heartbeats.begin(), m_heartbeats.end());
     for (const member &peer : fresh)
         learn(peer);
     selectFresh();
@@ -59,8 +62,14 @@
         return m_account.isFrozen(entry.first) && !m_account.isListed(entry.first);
     });
     for (auto &[peer, state] : m_peers) {
-        if (!state.goneSince && m_departures.isGone(peer))
+        updateSilence(peer, state, now);
+        const bool gone = m_departures.isGone(peer) || isReplaced(peer, state, now);
+        if (!state.silentSince || !gone)
+            state.goneSince.reset();
+        else if (!state.goneSince)
             state.goneSince = now;
+        if (!state.settledSince && isSettled(peer))
+            state.settledSince = now;
     }
     selectFresh();
 }
@@ -120,20 +129,49 @@
     return found != m_peers.end() && found->second.at == m_account.at();
 }
 
-void rights_peers::fill(rights_plan &plan, time_point now, duration hold) const
+void rights_peers::fill(rights_plan &plan, time_point now, duration ending) const
 {
     plan.unregistered = unregistered();
     for (const auto &[peer, state] : m_peers) {
-        if (state.goneSince) {
+        if (state.goneSince)
             plan.gone.insert(peer);
-            if (now - *state.goneSince >= hold)
-                plan.ended.insert(peer);
-        } else if (state.at == m_account.at()) {
+        if (state.settledSince && now - *state.settledSince >= ending)
+            plan.ended.insert(peer);
+        if (state.at == m_account.at())
             plan.statements[peer] = state.statements;
-        }
     }
 }
 
+void rights_peers::updateSilence(const member &peer, rights_peer &state, time_point now) const
+{
+    if (std::binary_search(m_heartbeats.begin(), m_heartbeats.end(), peer))
+        state.silentSince.reset();
+    else if (!state.silentSince)
+        state.silentSince = now;
+}
+
+bool rights_peers::isReplaced(const member &peer, const rights_peer &state, time_point now) const
+{
+    if (!state.silentSince || now - *state.silentSince < m_succession)
+        return false;
+    const auto succeeds = [&peer](const member &other) {
+        return other.vm == peer.vm && other.id != peer.id;
+    };
+    return succeeds(m_account.self())
+        || std::any_of(m_heartbeats.begin(), m_heartbeats.end(), succeeds);
+}
+
+bool rights_peers::isSettled(const member &closing) const
+{
+    if (!m_account.isFrozen(closing))
+        return false;
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const value_type &entry) {
+        const auto &[peer, state] = entry;
+        const bool deals = m_account.isListed(peer) && !m_account.isFrozen(peer);
+        return !deals || state.statements.contains(closing);
+    });
+}
+
 void rights_peers::learn(const member &peer)
 {
     if (peer == m_account.self())
--- a/src/azurelb/limits/rights_peers.hpp
+++ b/src/azurelb/limits/rights_peers.hpp
@@ -22,7 +22,9 @@
 public:
     using value_type = std::map<member, rights_peer>::value_type;
 
-    rights_peers(const rights_account &account, const departure_source &departures);
+    /** A silent daemon is replaced once another has used its VM's name for the succession time. */
+    rights_peers(const rights_account &account, const departure_source &departures,
+                 duration succession);
 
     /** Sets the daemons with a recent heartbeat. */
     void setFresh(const std::vector<member> &fresh);
@@ -33,7 +35,10 @@
     /** From now on every daemon that the document lists is known. */
     void adopt(const wire::rights_document &document);
 
-    /** Asks the platform's list which daemons are gone and forgets those reclaimed. */
+    /**
+     * Finds out which daemons are gone or replaced and forgets those reclaimed. A daemon with a
+     * recent heartbeat is not gone, whatever the list says, so that a wrong list stops no one.
+     */
     void update(time_point now);
 
     /** Known daemons that are neither gone nor closing. */
@@ -62,18 +67,26 @@
     /** True if the peer has said that it knows the same rights document as this daemon. */
     [[nodiscard]] bool isCurrent(const member &peer) const;
 
-    /** Fills in what the next document rests on as far as it comes from peers. */
-    void fill(rights_plan &plan, time_point now, duration hold) const;
+    /**
+     * Fills in what the next document rests on as far as it comes from peers. The work of a daemon
+     * that is gone counts as ended so long after the last other holder has stopped dealing with it.
+     */
+    void fill(rights_plan &plan, time_point now, duration ending) const;
 
     /** What is known of the peer, which is known from now on. */
     [[nodiscard]] rights_peer &at(const member &peer) { return m_peers[peer]; }
 
 private:
+    [[nodiscard]] bool isReplaced(const member &peer, const rights_peer &state,
+                                  time_point now) const;
+    void updateSilence(const member &peer, rights_peer &state, time_point now) const;
+    [[nodiscard]] bool isSettled(const member &closing) const;
     void learn(const member &peer);
     void selectFresh();
 
     const rights_account &m_account;
     const departure_source &m_departures;
+    duration m_succession;
     std::map<member, rights_peer> m_peers{};
     std::vector<member> m_heartbeats{};
     std::vector<member> m_fresh{};
--- a/src/azurelb/limits/rights_plan.hpp
+++ b/src/azurelb/limits/rights_plan.hpp
@@ -23,7 +23,7 @@
     std::vector<member> unregistered{};
     /** Daemons that the platform has removed. */
     std::set<member> gone{};
-    /** Daemons that have been known as gone for the hold time, so that their work has ended. */
+    /** Daemons that are gone and whose work has ended. */
     std::set<member> ended{};
     /** Statements of the daemons that know the current document. */
     std::map<member, closing_nets> statements{};
--- a/src/azurelb/limits/team_demand.hpp
+++ b/src/azurelb/limits/team_demand.hpp
@@ -24,6 +24,8 @@
     /** The last report, when it went out and to which daemon. */
     holder_report reported{};
     time_point reportedAt{};
+    /** Time to the next report if nothing changes; it grows with each, as long as requests wait. */
+    duration reportInterval{};
     member reportedTo{};
 
     [[nodiscard]] right_count owedCount() const noexcept
