A request that must avoid an upstream gets another's slot by exchange

Conclusion: only stuck daemons report what they avoid; the dispatcher recalls another slot for them.

--- a/src/azurelb/share/dispatcher.cpp
+++ b/src/azurelb/share/dispatcher.cpp
@@ -348,7 +348,7 @@
 bool dispatcher::assignOne(daemon_state &daemon)
 {
     upstream_state *upstream = choose(daemon, true);
-    if (!upstream)
+    if (!upstream && !canAvoid(daemon))
         upstream = choose(daemon, false);
     if (!upstream)
         return false;
@@ -359,6 +359,43 @@
     return true;
 }
 
+bool dispatcher::canAvoid(const daemon_state &daemon) const
+{
+    return !daemon.avoid.empty()
+        && std::any_of(m_upstreams.begin(), m_upstreams.end(), [&daemon](const auto &entry) {
+               return entry.second.capacity > 0 && !daemon.avoid.contains(entry.first);
+           });
+}
+
+bool dispatcher::isLessUrgent(const daemon_state *left, const daemon_state *right)
+{
+    if (left->avoid.empty() != right->avoid.empty())
+        return left->avoid.empty();
+    return missing(*left) < missing(*right);
+}
+
+void dispatcher::swapForAvoiding(const daemon_state &daemon)
+{
+    for (const auto &[vm, each] : m_upstreams) {
+        const bool isComing = each.held > each.assigned || each.held < each.capacity;
+        if (!daemon.avoid.contains(vm) && each.capacity > 0 && isComing)
+            return;
+    }
+    slot_state *found = nullptr;
+    daemon_state *holder = nullptr;
+    for (daemon_state &other : m_daemons) {
+        for (slot_state &slot : other.slots) {
+            const bool isSuitable = slot.isAssigned && !daemon.avoid.contains(slot.upstream->vm.vm);
+            if (!isSuitable || (found && (slot.isBusy || !found->isBusy)))
+                continue;
+            found = &slot;
+            holder = &other;
+        }
+    }
+    if (found)
+        recall(*found, *holder);
+}
+
 void dispatcher::assignFree()
 {
     std::vector<daemon_state *> open;
@@ -407,6 +444,10 @@
 
 void dispatcher::recallForWaiting()
 {
+    for (const daemon_state &daemon : m_daemons) {
+        if (daemon.isSynchronised && missing(daemon) >= 1 && canAvoid(daemon))
+            swapForAvoiding(daemon);
+    }
     for (double needed = shortage(); needed >= 1; --needed) {
         const auto most = std::min_element(m_daemons.begin(), m_daemons.end(),
                                            [](const daemon_state &left, const daemon_state &right) {
--- a/src/azurelb/share/dispatcher.hpp
+++ b/src/azurelb/share/dispatcher.hpp
@@ -90,6 +90,10 @@
     [[nodiscard]] bool isMember(const member &id) const noexcept;
     void assignFree();
     bool assignOne(daemon_state &daemon);
+    [[nodiscard]] bool canAvoid(const daemon_state &daemon) const;
+    [[nodiscard]] static bool isLessUrgent(const daemon_state *left, const daemon_state *right);
+    /** Recalls a slot that the daemon need not avoid, for one that it must. */
+    void swapForAvoiding(const daemon_state &daemon);
     void recallForWaiting();
     bool recallOne(daemon_state &daemon);
     [[nodiscard]] upstream_state *choose(const daemon_state &daemon, bool isAvoiding);
--- a/src/azurelb/share/lease_client.cpp
+++ b/src/azurelb/share/lease_client.cpp
@@ -150,6 +150,7 @@
     grant.upstream = *upstream;
     m_grants.push_back({next->id, std::move(grant)});
     m_isChanged = true;
+    m_isStuck = false;
     return true;
 }
 
@@ -160,8 +161,11 @@
         const bool isWanted = m_isConfirmed && !m_isContended;
         dropped = (!isWanted && m_slots.dropIdle(now)) || dropped;
     } else if (const auto *avoided = m_queue.avoided(); avoided && mayStart(now)) {
-        dropped = m_slots.dropIdle(*avoided) || dropped;
+        const bool isUseless = m_slots.dropIdle(*avoided);
+        m_isStuck = m_isStuck || isUseless;
+        dropped = dropped || isUseless;
     }
+    m_isStuck = m_isStuck && m_queue.backed() > 0;
     if (dropped)
         markUrgent();
 }
@@ -221,7 +225,7 @@
         load.waiting = m_isConfirmed ? load.waiting : 0;
     }
     m_slots.fill(report, m_acknowledged);
-    if (const auto *avoided = m_queue.avoided())
+    if (const auto *avoided = m_isStuck ? m_queue.avoided() : nullptr)
         report.avoid.assign(avoided->begin(), avoided->end());
     if (m_isUrgent || m_replyWanted > m_acknowledged)
         m_replyWanted = m_sequence;
--- a/src/azurelb/share/lease_client.hpp
+++ b/src/azurelb/share/lease_client.hpp
@@ -103,6 +103,8 @@
     bool m_isUrgent{true};
     bool m_isChanged{true};
     bool m_wasWaiting{false};
+    /** The waiting requests avoid the upstreams of all idle slots. */
+    bool m_isStuck{false};
 };
 
 } // namespace azurelb
