--- a/src/azurelb/share/dispatched_slot_service.cpp
+++ b/src/azurelb/share/dispatched_slot_service.cpp
@@ -390,11 +390,9 @@
                                 client.slots().busy());
         for (const team_load &load : client.queue().loads(now))
             pool->figures.setUsed(load.team, load.used);
-        if (pool->owned)
-            pool->figures.setDispatcher(pool->owned->held(), pool->owned->capacity(),
-                                        pool->owned->openCircuits());
-        else
-            pool->figures.setDispatcher(0, 0, 0);
+        const dispatcher *owned = pool->owned.get();
+        pool->figures.setDispatcher(owned ? owned->held() : 0, owned ? owned->capacity() : 0,
+                                    owned ? owned->openCircuits() : 0);
     }
 }
 
--- /dev/null
+++ b/src/azurelb/share/dispatcher_assignment.cpp
@@ -0,0 +1,264 @@
+#include <azurelb/share/dispatcher.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurelb {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Sequence of a slot that no assignment holds yet. */
+constexpr std::uint64_t notSent{UINT64_MAX};
+/** Longest step of the accounts, should the dispatcher have been paused. */
+constexpr duration longestStep{50ms};
+/** Time within which a daemon's part below one slot is made good, and the most that is owed. */
+constexpr double lagWindowSeconds{0.2};
+constexpr double mostLag{0.3};
+/** Advantage of the daemon that holds a slot when parts of slots are rounded. */
+constexpr double holdingBonus{0.3};
+
+[[nodiscard]] double toSeconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+void dispatcher::recall(slot_state &slot, daemon_state &daemon)
+{
+    slot.isAssigned = false;
+    --slot.upstream->assigned;
+    daemon.isUrgent = true;
+}
+
+void dispatcher::recallIdle(upstream_state &upstream)
+{
+    std::uint32_t used = upstream.held;
+    for (daemon_state &daemon : m_daemons) {
+        for (slot_state &slot : daemon.slots) {
+            if (used <= upstream.capacity)
+                return;
+            if (slot.upstream != &upstream || !slot.isAssigned || slot.isBusy)
+                continue;
+            recall(slot, daemon);
+            --used;
+        }
+    }
+}
+
+void dispatcher::recallBusy(upstream_state &upstream)
+{
+    for (daemon_state &daemon : m_daemons) {
+        for (slot_state &slot : daemon.slots) {
+            if (upstream.assigned <= upstream.capacity)
+                return;
+            if (slot.upstream == &upstream && slot.isAssigned)
+                recall(slot, daemon);
+        }
+    }
+}
+
+void dispatcher::recallExcess()
+{
+    for (auto &[vm, each] : m_upstreams) {
+        recallIdle(each);
+        recallBusy(each);
+    }
+}
+
+dispatcher::size_type dispatcher::assigned(const daemon_state &daemon) noexcept
+{
+    return static_cast<size_type>(
+        std::count_if(daemon.slots.begin(), daemon.slots.end(),
+                      [](const slot_state &slot) { return slot.isAssigned; }));
+}
+
+double dispatcher::missing(const daemon_state &daemon) noexcept
+{
+    return daemon.wanted - static_cast<double>(assigned(daemon));
+}
+
+void dispatcher::setWanted(time_point now)
+{
+    const double step = toSeconds(std::min<duration>(now - m_lastPlan, longestStep));
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        daemon_state &daemon = m_daemons[index];
+        const double target = m_plan.find(index).slots;
+        const double behind = target - static_cast<double>(assigned(daemon));
+        daemon.lag =
+            m_plan.isContended() ? std::clamp(daemon.lag + behind * step, -mostLag, mostLag) : 0;
+        const double change = std::clamp(daemon.lag / lagWindowSeconds, -1.0, 1.0);
+        daemon.wanted = std::max(target + change, 0.0);
+    }
+    round();
+}
+
+void dispatcher::round()
+{
+    double total = 0;
+    double whole = 0;
+    std::vector<std::pair<double, daemon_state *>> parts;
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        daemon_state &daemon = m_daemons[index];
+        const double floor = std::floor(daemon.wanted);
+        const bool isHolding = static_cast<double>(assigned(daemon)) > floor;
+        parts.emplace_back(daemon.wanted - floor + (isHolding ? holdingBonus : 0), &daemon);
+        total += m_plan.find(index).slots;
+        whole += floor;
+        daemon.wanted = floor;
+    }
+    std::sort(parts.begin(), parts.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    double rest = std::floor(total + 0.5) - whole;
+    for (auto part = parts.begin(); part != parts.end() && rest >= 1; ++part, --rest)
+        ++part->second->wanted;
+    for (auto part = parts.rbegin(); part != parts.rend() && rest <= -1; ++part) {
+        if (part->second->wanted < 1)
+            continue;
+        --part->second->wanted;
+        ++rest;
+    }
+}
+
+std::uint32_t dispatcher::heldOf(const daemon_state &daemon,
+                                 const upstream_state &upstream) noexcept
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(daemon.slots.begin(), daemon.slots.end(),
+                      [&upstream](const slot_state &s) { return s.upstream == &upstream; }));
+}
+
+dispatcher::upstream_state *dispatcher::choose(const daemon_state &daemon, bool isAvoiding)
+{
+    upstream_state *best = nullptr;
+    std::uint32_t fewest = m_options.slotsPerDaemon;
+    for (auto &[vm, each] : m_upstreams) {
+        if (each.held >= each.capacity || (isAvoiding && daemon.avoid.contains(vm)))
+            continue;
+        const std::uint32_t held = heldOf(daemon, each);
+        const bool isFreer =
+            best && held == fewest && each.capacity - each.held > best->capacity - best->held;
+        if (held < fewest || isFreer) {
+            best = &each;
+            fewest = held;
+        }
+    }
+    return best;
+}
+
+bool dispatcher::assignOne(daemon_state &daemon)
+{
+    upstream_state *upstream = choose(daemon, true);
+    if (!upstream && !canAvoid(daemon))
+        upstream = choose(daemon, false);
+    if (!upstream)
+        return false;
+    daemon.slots.push_back({slot_id{m_nextSlot++}, upstream, notSent, true, false});
+    daemon.isUrgent = true;
+    ++upstream->held;
+    ++upstream->assigned;
+    return true;
+}
+
+bool dispatcher::canAvoid(const daemon_state &daemon) const
+{
+    return !daemon.avoid.empty()
+        && std::any_of(m_upstreams.begin(), m_upstreams.end(), [&daemon](const auto &entry) {
+               return entry.second.capacity > 0 && !daemon.avoid.contains(entry.first);
+           });
+}
+
+bool dispatcher::isLessUrgent(const daemon_state *left, const daemon_state *right)
+{
+    if (left->avoid.empty() != right->avoid.empty())
+        return left->avoid.empty();
+    return missing(*left) < missing(*right);
+}
+
+void dispatcher::swapForAvoiding(const daemon_state &daemon)
+{
+    for (const auto &[vm, each] : m_upstreams) {
+        const bool isComing = each.held > each.assigned || each.held < each.capacity;
+        if (!daemon.avoid.contains(vm) && each.capacity > 0 && isComing)
+            return;
+    }
+    slot_state *found = nullptr;
+    daemon_state *holder = nullptr;
+    for (daemon_state &other : m_daemons) {
+        for (slot_state &slot : other.slots) {
+            const bool isSuitable = slot.isAssigned && !daemon.avoid.contains(slot.upstream->vm.vm);
+            if (!isSuitable || (found && (slot.isBusy || !found->isBusy)))
+                continue;
+            found = &slot;
+            holder = &other;
+        }
+    }
+    if (found)
+        recall(*found, *holder);
+}
+
+void dispatcher::assignFree()
+{
+    std::vector<daemon_state *> open;
+    for (daemon_state &daemon : m_daemons) {
+        if (daemon.isSynchronised && missing(daemon) > 0)
+            open.push_back(&daemon);
+    }
+    while (!open.empty()) {
+        const auto most = std::max_element(open.begin(), open.end(),
+                                           [](const daemon_state *left, const daemon_state *right) {
+                                               return missing(*left) < missing(*right);
+                                           });
+        if (missing(**most) <= 0)
+            return;
+        if (!assignOne(**most))
+            open.erase(most);
+    }
+}
+
+double dispatcher::shortage() const
+{
+    double sum = 0;
+    for (size_type index = 0; index < m_daemons.size(); ++index) {
+        const daemon_state &daemon = m_daemons[index];
+        const double least = m_plan.isWaiting(index) ? 1 : 2;
+        if (daemon.isSynchronised && missing(daemon) >= least)
+            sum += missing(daemon) - least + 1;
+    }
+    for (const auto &[vm, each] : m_upstreams)
+        sum -= std::max(std::min(each.held, each.capacity), each.assigned) - each.assigned;
+    return sum;
+}
+
+bool dispatcher::recallOne(daemon_state &daemon)
+{
+    slot_state *found = nullptr;
+    for (slot_state &slot : daemon.slots) {
+        if (slot.isAssigned && (!found || (found->isBusy && !slot.isBusy)))
+            found = &slot;
+    }
+    if (!found)
+        return false;
+    recall(*found, daemon);
+    return true;
+}
+
+void dispatcher::recallForWaiting()
+{
+    for (const daemon_state &daemon : m_daemons) {
+        if (daemon.isSynchronised && missing(daemon) >= 1 && canAvoid(daemon))
+            swapForAvoiding(daemon);
+    }
+    for (double needed = shortage(); needed >= 1; --needed) {
+        const auto most = std::min_element(m_daemons.begin(), m_daemons.end(),
+                                           [](const daemon_state &left, const daemon_state &right) {
+                                               return missing(left) < missing(right);
+                                           });
+        if (most == m_daemons.end() || missing(*most) > -1 || !recallOne(*most))
+            return;
+    }
+}
+
+} // namespace azurelb
--- a/test/azurelb/share/virtual_fleet.cpp
+++ b/test/azurelb/share/virtual_fleet.cpp
@@ -249,12 +249,14 @@
     const team_name team = ticket.team;
     ++found->attempts;
     ++found->used;
-    schedule(m_now + m_options.delay, [this, upstream] {
+    schedule(m_now + m_options.delay, [this, upstream, team, span] {
         m_mostRunning = std::max(m_mostRunning, ++m_executors[upstream].running);
-    });
-    schedule(m_now + m_options.delay + span, [this, upstream, team, span] {
-        --m_executors[upstream].running;
-        m_figures[team].usedSeconds += toSeconds(span);
+        const auto running = m_running.emplace(team, m_now);
+        schedule(m_now + span, [this, upstream, running] {
+            --m_executors[upstream].running;
+            m_figures[running->first].usedSeconds += toSeconds(m_now - running->second);
+            m_running.erase(running);
+        });
     });
     scheduleAt(
         index, m_now + 2 * m_options.delay + span,
@@ -430,101 +432,4 @@
     m_daemons[index].client->setConfirmed(isConfirmed);
 }
 
-team_figures virtual_fleet::total() const
-{
-    team_figures sum;
-    for (const auto &[team, each] : m_figures) {
-        sum.usedSeconds += each.usedSeconds;
-        sum.asked += each.asked;
-        sum.answered += each.answered;
-        sum.failed += each.failed;
-        sum.refused += each.refused;
-        sum.cancelled += each.cancelled;
-    }
-    return sum;
-}
-
-std::uint64_t virtual_fleet::attempts(std::size_t upstream) const
-{
-    return m_executors[upstream].attempts;
-}
-
-std::uint64_t virtual_fleet::attempts(const zone_name &zone) const
-{
-    std::uint64_t sum = 0;
-    for (const executor &each : m_executors)
-        sum += each.vm.zone == zone ? each.attempts : 0;
-    return sum;
-}
-
-void virtual_fleet::resetPeaks()
-{
-    m_waits.clear();
-    m_mostRunning = 0;
-    m_idleSeconds = 0;
-    m_longestIdle = {};
-}
-
-std::chrono::microseconds virtual_fleet::wait(double part)
-{
-    if (m_waits.empty())
-        return {};
-    std::sort(m_waits.begin(), m_waits.end());
-    const auto last = static_cast<double>(m_waits.size() - 1);
-    return m_waits[static_cast<std::size_t>(part * last)];
-}
-
-std::size_t virtual_fleet::dispatcherIndex() const
-{
-    const auto found = std::find_if(m_daemons.begin(), m_daemons.end(),
-                                    [](const daemon &each) { return each.isAlive && each.owned; });
-    return static_cast<std::size_t>(found - m_daemons.begin());
-}
-
-const dispatcher *virtual_fleet::findDispatcher() const
-{
-    const std::size_t index = dispatcherIndex();
-    return index < m_daemons.size() ? m_daemons[index].owned.get() : nullptr;
-}
-
-std::size_t virtual_fleet::open() const
-{
-    std::size_t sum = 0;
-    for (const daemon &each : m_daemons) {
-        for (const auto &[id, ticket] : each.tickets)
-            sum += each.isAlive && !ticket.isEnded ? 1 : 0;
-    }
-    return sum;
-}
-
-bool virtual_fleet::balancesRights()
-{
-    for (daemon &each : m_daemons) {
-        if (!each.isAlive)
-            continue;
-        std::uint32_t taken = 0;
-        for (const auto &[team, figures] : m_figures)
-            taken += each.limits->taken(team);
-        if (taken != each.client->slots().busy() + each.client->queue().backed())
-            return false;
-    }
-    return true;
-}
-
-std::size_t virtual_fleet::held() const
-{
-    std::size_t sum = 0;
-    for (const daemon &each : m_daemons)
-        sum += each.isAlive ? each.client->slots().size() : 0;
-    return sum;
-}
-
-std::size_t virtual_fleet::busy() const
-{
-    std::size_t sum = 0;
-    for (const daemon &each : m_daemons)
-        sum += each.isAlive ? each.client->slots().busy() : 0;
-    return sum;
-}
-
 } // namespace azurelb::testing
--- a/test/azurelb/share/virtual_fleet.hpp
+++ b/test/azurelb/share/virtual_fleet.hpp
@@ -47,6 +47,7 @@
 /** What happened to the requests of one team. */
 struct team_figures
 {
+    /** Slot time at the executors, including that of running requests. */
     double usedSeconds{};
     std::uint64_t asked{};
     std::uint64_t answered{};
@@ -129,7 +130,7 @@
     void setConfirmed(std::size_t daemon, bool isConfirmed);
 
     [[nodiscard]] time_point now() const noexcept { return m_now; }
-    [[nodiscard]] team_figures &figures(const team_name &team) { return m_figures[team]; }
+    [[nodiscard]] team_figures figures(const team_name &team) const;
     [[nodiscard]] team_figures total() const;
     [[nodiscard]] std::uint64_t attempts(std::size_t upstream) const;
     [[nodiscard]] std::uint64_t attempts(const zone_name &zone) const;
@@ -196,6 +197,8 @@
     std::vector<load> m_loads{};
     std::vector<bool> m_isFresh{};
     std::map<team_name, team_figures> m_figures{};
+    /** Start of each request that runs at an executor. */
+    std::multimap<team_name, time_point> m_running{};
     std::vector<std::chrono::microseconds> m_waits{};
     std::uint64_t m_nextTicket{1};
     std::uint64_t m_nextProcess{1};
