Local fair queueing counts the running time of requests

Ruled out: counting of whole runs at the ends of windows (counted exactly before this change). Conclusion: the tag holds the time of running requests and the mean that is still expected.

--- a/src/azurelb/share/fair_queue.cpp
+++ b/src/azurelb/share/fair_queue.cpp
@@ -47,13 +47,22 @@
     return *found;
 }
 
-bool fair_queue::emplace(ticket_id id, const slot_request &wanted)
+double fair_queue::startTag(const team_state &team, time_point now) noexcept
+{
+    const duration elapsed = team.running * now.time_since_epoch() - team.startedSum;
+    const duration expected = elapsed + team.running * team.meanRun;
+    return team.virtualTime + toSeconds(expected) / team.weight;
+}
+
+bool fair_queue::emplace(ticket_id id, const slot_request &wanted, time_point now)
 {
     team_state &team = findTeam(wanted.team);
     if (team.waiting.size() >= m_options.waitingPerTeam)
         return false;
-    if (team.waiting.empty())
-        team.virtualTime = std::max(team.virtualTime, m_virtualTime);
+    if (team.waiting.empty()) {
+        const double behind = m_virtualTime - startTag(team, now);
+        team.virtualTime += std::max(behind, 0.0);
+    }
     team.waiting.push_back({id, wanted.deadline, wanted.avoid});
     m_index.emplace(id, position{&team, std::prev(team.waiting.end())});
     balanceRights(team);
@@ -117,18 +126,21 @@
     return m_rights.acquireToStart(team.team);
 }
 
+bool fair_queue::isBefore(const team_state *left, const team_state *right) noexcept
+{
+    return left->tag < right->tag || (left->tag == right->tag && left->team < right->team);
+}
+
 std::optional<fair_queue::started> fair_queue::pop(const predicate &canRun, time_point now)
 {
     m_candidates.clear();
     for (auto &[name, team] : m_teams) {
-        if (!team->waiting.empty())
-            m_candidates.push_back(team.get());
+        if (team->waiting.empty())
+            continue;
+        team->tag = startTag(*team, now);
+        m_candidates.push_back(team.get());
     }
-    std::sort(m_candidates.begin(), m_candidates.end(),
-              [](const team_state *left, const team_state *right) {
-                  return left->virtualTime < right->virtualTime
-                      || (left->virtualTime == right->virtualTime && left->team < right->team);
-              });
+    std::sort(m_candidates.begin(), m_candidates.end(), isBefore);
     for (team_state *team : m_candidates) {
         const auto end = team->waiting.size() > mostTried
             ? std::next(team->waiting.begin(), mostTried)
@@ -140,8 +152,7 @@
         if (found == end || !takeRight(*team))
             continue;
         started next{found->id, team->team, found->deadline};
-        m_virtualTime = std::max(m_virtualTime, team->virtualTime);
-        team->virtualTime += toSeconds(team->meanRun) / team->weight;
+        m_virtualTime = std::max(m_virtualTime, team->tag);
         ++team->running;
         team->startedSum += now.time_since_epoch();
         erase(*team, found);
@@ -154,7 +165,7 @@
 void fair_queue::finish(const team_name &name, duration run, time_point startedAt)
 {
     team_state &team = findTeam(name);
-    team.virtualTime += toSeconds(run - team.meanRun) / team.weight;
+    team.virtualTime += toSeconds(run) / team.weight;
     team.used += run;
     team.startedSum -= startedAt.time_since_epoch();
     --team.running;
--- a/src/azurelb/share/fair_queue.hpp
+++ b/src/azurelb/share/fair_queue.hpp
@@ -35,7 +35,9 @@
         std::uint32_t running{};
         std::int64_t demand{};
         double weight{1};
+        /** Slot time of ended requests by weight. */
         double virtualTime{};
+        double tag{};
         duration used{};
         duration startedSum{};
         duration meanRun{};
@@ -48,6 +50,9 @@
     };
 
     [[nodiscard]] team_state &findTeam(const team_name &team);
+    /** Virtual time with what the running requests are expected to use, were they memoryless. */
+    [[nodiscard]] static double startTag(const team_state &team, time_point now) noexcept;
+    [[nodiscard]] static bool isBefore(const team_state *left, const team_state *right) noexcept;
     [[nodiscard]] bool takeRight(team_state &team);
     void erase(team_state &team, std::list<ticket>::iterator at);
     void balanceRights(team_state &team);
@@ -72,7 +77,7 @@
     ~fair_queue();
 
     /** Adds a request. False if too many of its team wait. */
-    [[nodiscard]] bool emplace(ticket_id id, const slot_request &wanted);
+    [[nodiscard]] bool emplace(ticket_id id, const slot_request &wanted, time_point now);
 
     /** Removes a waiting request; false if there is none of that name. */
     bool erase(ticket_id id);
--- a/src/azurelb/share/lease_client.cpp
+++ b/src/azurelb/share/lease_client.cpp
@@ -49,7 +49,7 @@
     const duration left = wanted.deadline - now;
     if (left <= wait)
         return refuse(ticket, slot_refusal::late, std::max(wait - left, m_queue.meanRun()));
-    if (!m_queue.emplace(ticket, wanted))
+    if (!m_queue.emplace(ticket, wanted, now))
         refuse(ticket, slot_refusal::full, m_queue.expectedWait(wanted.team));
 }
 
