--- a/src/azurelb/share/dispatcher.cpp
+++ b/src/azurelb/share/dispatcher.cpp
@@ -223,6 +223,7 @@
     setWanted(now);
     assignFree();
     recallForWaiting();
+    assignFree();
     m_isChanged = false;
     m_lastPlan = now;
 }
