--- a/test/azurelb/share/share_test.cpp
+++ b/test/azurelb/share/share_test.cpp
@@ -396,9 +396,13 @@
         addUnevenLoad(fleet, 0.5);
         fleet.advance(5s);
         const double late = toMilliseconds(fleet.wait(1));
+        const team_figures sum = fleet.total();
         print("early refusal",
-              {{"longest wait ms", late}, {"refused", static_cast<double>(fleet.total().refused)}});
-        CPPUNIT_ASSERT(fleet.total().refused > 1000);
+              {{"longest wait ms", late},
+               {"refused", static_cast<double>(sum.refused)},
+               {"at once", static_cast<double>(sum.refusedAtOnce)}});
+        CPPUNIT_ASSERT(sum.refused > 1000);
+        CPPUNIT_ASSERT(sum.refusedAtOnce * 10 >= sum.refused * 8);
         CPPUNIT_ASSERT(late <= 1000);
     }
 };
--- a/test/azurelb/share/virtual_fleet.cpp
+++ b/test/azurelb/share/virtual_fleet.cpp
@@ -235,7 +235,9 @@
     m_doubled += ticket.isEnded ? 1 : 0;
     ticket.isEnded = true;
     if (granted.grant.refusal != slot_refusal::none) {
-        ++m_figures[ticket.team].refused;
+        team_figures &figures = m_figures[ticket.team];
+        ++figures.refused;
+        figures.refusedAtOnce += m_now - ticket.askedAt <= 1ms ? 1 : 0;
         return;
     }
     m_waits.push_back(
--- a/test/azurelb/share/virtual_fleet.hpp
+++ b/test/azurelb/share/virtual_fleet.hpp
@@ -53,6 +53,8 @@
     std::uint64_t answered{};
     std::uint64_t failed{};
     std::uint64_t refused{};
+    /** Refused within a millisecond of the asking. */
+    std::uint64_t refusedAtOnce{};
     std::uint64_t cancelled{};
 };
 
--- a/test/azurelb/share/virtual_fleet_figures.cpp
+++ b/test/azurelb/share/virtual_fleet_figures.cpp
@@ -26,6 +26,7 @@
         sum.answered += each.answered;
         sum.failed += each.failed;
         sum.refused += each.refused;
+        sum.refusedAtOnce += each.refusedAtOnce;
         sum.cancelled += each.cancelled;
     }
     return sum;
