--- a/test/azurelb/share/parts_test.cpp
+++ b/test/azurelb/share/parts_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(startsNothingAfterLeaseTime);
     CPPUNIT_TEST(startsNothingUnconfirmed);
     CPPUNIT_TEST(startsNothingWithoutRight);
+    CPPUNIT_TEST(startsNothingOnOtherUpstream);
     CPPUNIT_TEST(refusesWithoutUpstream);
     CPPUNIT_TEST(refusesWhenFullOrStopping);
     CPPUNIT_TEST(restsFailedSlot);
@@ -152,6 +153,16 @@
         CPPUNIT_ASSERT(slot_refusal::late == refusal(start + 10s));
     }
 
+    void startsNothingOnOtherUpstream()
+    {
+        m_client.apply(assigned(1, 1), start);
+        std::vector<upstream_vm> others = upstreams();
+        others[0].vm = vm_id{"other"};
+        m_client.setUpstreams(others, start);
+        ask(1);
+        CPPUNIT_ASSERT_EQUAL(0, granted(start));
+    }
+
     void refusesWithoutUpstream()
     {
         m_client.setUpstreams({}, start);
--- a/test/azurelb/share/share_test.cpp
+++ b/test/azurelb/share/share_test.cpp
@@ -147,6 +147,7 @@
     CPPUNIT_TEST(survivesPauseOfDispatcher);
     CPPUNIT_TEST(cancellationsCostNoSlot);
     CPPUNIT_TEST(refusesEarly);
+    CPPUNIT_TEST(findsSlotOfAnotherUpstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -405,6 +406,25 @@
         CPPUNIT_ASSERT(sum.refusedAtOnce * 10 >= sum.refused * 8);
         CPPUNIT_ASSERT(late <= 1000);
     }
+
+    /** Each daemon holds one idle slot, and now and then the one that a request must avoid. */
+    void findsSlotOfAnotherUpstream()
+    {
+        fleet_options options = usual();
+        options.daemons = 2;
+        options.upstreams = 2;
+        options.slots = 1;
+        virtual_fleet fleet{options};
+        for (std::size_t count = 0; count < 8; ++count) {
+            fleet.advance(1s);
+            const vm_id avoided{"executor-" + std::to_string(count / 2 % 2)};
+            (void)fleet.ask(count % 2, team_name{"middle"}, 500ms, {avoided});
+        }
+        fleet.advance(1s);
+        print("avoided upstream", {{"longest wait ms", toMilliseconds(fleet.wait(1))}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, fleet.total().answered);
+        CPPUNIT_ASSERT(fleet.wait(1) <= 100ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(share_test);
