Load tool azurelb_bench, tools/bench and the transport's counters as metrics

Cause: nothing measured the whole path from outside. Ruled out: counting the control bytes from outside; /proc shows no socket bytes of one process. Conclusion: scenarios steady, peak, limit, connections, idle and seed; tools/bench starts and stops all.

--- a/src/azurelb/peer/fwd.hpp
+++ b/src/azurelb/peer/fwd.hpp
@@ -14,6 +14,7 @@
 struct nng_options;
 struct peer_address;
 struct transport_counters;
+class transport_metrics;
 
 using envelope_handler = std::function<void(const wire::envelope &)>;
 
--- /dev/null
+++ b/src/azurelb/peer/transport_metrics.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <azurelb/core/service.hpp>
+#include <azurelb/metrics/fwd.hpp>
+#include <azurelb/peer/fwd.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace azurelb {
+
+/** Copies the counters of the transport to peers into the metrics once a second. */
+class transport_metrics final : public service
+{
+public:
+    /** Name of the service in the kernel. */
+    static constexpr std::string_view serviceName{"transport_metrics"};
+
+    explicit transport_metrics(boost::asio::io_context &loop);
+
+    [[nodiscard]] std::string_view name() const noexcept override { return serviceName; }
+
+    /** Finds the transport and the metrics. */
+    void start(kernel &services) override;
+
+    void stop() noexcept override;
+
+private:
+    void copy();
+    void set(const std::string &metric, const std::string &help, std::uint64_t value);
+
+    boost::asio::steady_timer m_timer;
+    const nng_transport *m_transport{nullptr};
+    metrics *m_metrics{nullptr};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb_bench/load_stream.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <azurelb/http/http_client.hpp>
+#include <azurelb_bench/stream_options.hpp>
+#include <azurelb_bench/stream_result.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace azurelb::bench {
+
+/**
+ * Calls at a rate that does not depend on the answers. The latency of a call counts from the time
+ * at which it was due, so that a stalled server shows.
+ */
+class load_stream
+{
+public:
+    using clock = std::chrono::steady_clock;
+
+    load_stream(boost::asio::io_context &loop, stream_options options);
+
+    /** Issues the calls due by now. Precondition: times of successive calls do not decrease. */
+    void advance(clock::time_point start, clock::time_point now);
+
+    [[nodiscard]] bool isQuiet() const noexcept { return m_underWay == 0 && m_due.empty(); }
+    [[nodiscard]] const stream_options &options() const noexcept { return m_options; }
+    [[nodiscard]] const stream_result &result() const noexcept { return m_result; }
+
+    /** Drops the calls that wait for a connection. */
+    void dropWaiting() { m_due.clear(); }
+
+private:
+    void send();
+    void finish(std::size_t client, clock::time_point due, const http_outcome &outcome);
+    [[nodiscard]] http_request makeRequest() const;
+
+    boost::asio::io_context &m_loop;
+    stream_options m_options;
+    std::vector<std::unique_ptr<http_client>> m_clients{};
+    std::vector<std::size_t> m_free{};
+    std::deque<clock::time_point> m_due{};
+    clock::time_point m_start{};
+    clock::time_point m_last{};
+    double m_credit{};
+    std::size_t m_underWay{};
+    stream_result m_result{};
+};
+
+} // namespace azurelb::bench
--- /dev/null
+++ b/src/azurelb_bench/main.cpp
@@ -0,0 +1,27 @@
+#include <azurelb_bench/flags.hpp>
+#include <azurelb_bench/run_report.hpp>
+#include <azurelb_bench/scenarios.hpp>
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    using namespace azurelb::bench;
+    gflags::SetUsageMessage("drives running daemons with load and prints what it measured");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    constexpr int exitWrongUsage = 2;
+    try {
+        if (FLAGS_scenario == "seed") {
+            seedFleet();
+            return 0;
+        }
+        const run_report report = runScenario();
+        std::cout << (FLAGS_json ? toJson(report) + '\n' : toTable(report));
+    } catch (const std::exception &failure) {
+        std::cerr << "azurelb_bench: " << failure.what() << '\n';
+        return exitWrongUsage;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/azurelb_bench/process_usage.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <azurelb_bench/fwd.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+namespace azurelb::bench {
+
+/** Processor time and memory of a process, as the kernel reports them. */
+struct process_usage
+{
+    std::chrono::milliseconds processorTime{};
+    std::uint64_t residentBytes{};
+    std::uint64_t threads{};
+};
+
+/** Usage of the process now; all zero if there is none of that id. */
+[[nodiscard]] process_usage usageOf(int process);
+
+} // namespace azurelb::bench
--- /dev/null
+++ b/src/azurelb_bench/scenarios.cpp
@@ -0,0 +1,339 @@
+#include <azurelb/http/endpoint.hpp>
+#include <azurelb_bench/flags.hpp>
+#include <azurelb_bench/load_run.hpp>
+#include <azurelb_bench/run_report.hpp>
+#include <azurelb_bench/scenarios.hpp>
+#include <azurelb_bench/team_option.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <iterator>
+#include <numeric>
+#include <sstream>
+#include <thread>
+
+namespace azurelb::bench {
+
+namespace {
+
+using endpoint = boost::asio::ip::tcp::endpoint;
+using rate_function = std::function<double(std::chrono::duration<double>)>;
+
+std::vector<std::string> split(const std::string &text, char separator)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream{text};
+    for (std::string part; std::getline(stream, part, separator);)
+        parts.push_back(part);
+    return parts;
+}
+
+std::vector<endpoint> endpointsOf(const std::string &flag, const std::string &text)
+{
+    std::vector<endpoint> found;
+    for (const std::string &each : split(text, ',')) {
+        const auto parsed = parseEndpoint(each);
+        if (!parsed)
+            throw usage_error{"--" + flag + " has '" + each + "'; allowed: IP:PORT"};
+        found.push_back(*parsed);
+    }
+    return found;
+}
+
+std::vector<team_option> teams()
+{
+    constexpr std::size_t parts = 4;
+    std::vector<team_option> found;
+    for (const std::string &each : split(FLAGS_teams, ',')) {
+        const auto values = split(each, '/');
+        if (values.size() != parts)
+            throw usage_error{"--teams has '" + each + "'; allowed: NAME/KEY/SHARE/LIMIT"};
+        found.push_back({values[0], values[1], std::stod(values[2]), std::stoull(values[3])});
+    }
+    if (found.empty())
+        throw usage_error{"--teams is empty; allowed: NAME/KEY/SHARE/LIMIT,..."};
+    return found;
+}
+
+watched_processes watched()
+{
+    watched_processes all{endpointsOf("operators", FLAGS_operators),
+                          endpointsOf("executors", FLAGS_executors),
+                          endpointsOf("stores", FLAGS_stores),
+                          {}};
+    for (const std::string &each : split(FLAGS_pids, ','))
+        all.daemons.push_back(std::stoi(each));
+    return all;
+}
+
+std::vector<endpoint> daemons()
+{
+    const auto all = endpointsOf("daemons", FLAGS_daemons);
+    if (all.empty())
+        throw usage_error{"--daemons is empty; allowed: IP:PORT,..."};
+    return all;
+}
+
+stream_options streamTo(const endpoint &target, const team_option &team, const std::string &path,
+                        rate_function rate)
+{
+    return {target,
+            team.name,
+            team.key,
+            path,
+            static_cast<std::size_t>(FLAGS_body_bytes),
+            std::chrono::milliseconds{FLAGS_run_ms},
+            std::chrono::milliseconds{FLAGS_timeout_ms},
+            std::move(rate),
+            static_cast<std::size_t>(FLAGS_connections)};
+}
+
+rate_function constantRate(double rate)
+{
+    return [rate](std::chrono::duration<double>) {
+        return rate;
+    };
+}
+
+std::chrono::milliseconds duration()
+{
+    return std::chrono::seconds{FLAGS_seconds};
+}
+
+/** Runs the streams and fills the report's results and samples. */
+void runStreams(const std::vector<stream_options> &streams, run_report &report)
+{
+    load_run run{streams, duration()};
+    report.duration = duration();
+    report.before = takeSample(watched());
+    run.run();
+    report.after = takeSample(watched());
+    const auto results = run.results();
+    for (std::size_t index = 0; index < results.size(); ++index) {
+        report.total.add(results[index]);
+        report.teams[streams[index].team].add(results[index]);
+    }
+}
+
+/** Calls the executors without any daemon between, at the rate of the flag. */
+stream_result runDirect()
+{
+    const auto executors = endpointsOf("executors", FLAGS_executors);
+    std::vector<stream_options> streams;
+    const double rate =
+        FLAGS_rate / static_cast<double>(std::max<std::size_t>(1, executors.size()));
+    for (const endpoint &each : executors)
+        streams.push_back(streamTo(each, {}, "/", constantRate(rate)));
+    load_run run{streams, duration()};
+    run.run();
+    stream_result total;
+    for (const stream_result &each : run.results())
+        total.add(each);
+    return total;
+}
+
+std::string pathOf(const std::string &queue)
+{
+    return "/v1/queues/" + queue;
+}
+
+std::vector<std::string> queues()
+{
+    const auto all = split(FLAGS_queues, ',');
+    if (all.empty())
+        throw usage_error{"--queues is empty; allowed: NAME,..."};
+    return all;
+}
+
+void runSteady(run_report &report)
+{
+    const auto targets = daemons();
+    const auto callers = teams();
+    const auto parts = static_cast<double>(targets.size() * callers.size());
+    std::vector<stream_options> streams;
+    for (const endpoint &target : targets) {
+        for (const team_option &team : callers)
+            streams.push_back(
+                streamTo(target, team, pathOf(queues().front()), constantRate(FLAGS_rate / parts)));
+    }
+    report.direct = runDirect();
+    runStreams(streams, report);
+}
+
+/** Five times the mean while it is the queue's turn, a twentieth of the mean in between. */
+rate_function peakRate(std::size_t queue, std::size_t queueCount, double mean)
+{
+    return [queue, queueCount, mean](std::chrono::duration<double> time) {
+        constexpr double peakSeconds = 4;
+        constexpr double peakFactor = 5;
+        constexpr double restFactor = 0.05;
+        const auto turn = static_cast<std::size_t>(time.count() / peakSeconds) % queueCount;
+        return mean * (turn == queue ? peakFactor : restFactor);
+    };
+}
+
+/** Half of the calls to the first daemon, half of the rest to the second, and so on. */
+double unevenPart(std::size_t index, std::size_t count)
+{
+    const double part = std::pow(0.5, static_cast<double>(index + 1));
+    return index + 1 == count ? 2 * part : part;
+}
+
+std::vector<stream_options> peakStreams()
+{
+    const auto targets = daemons();
+    const auto callers = teams();
+    const auto names = queues();
+    std::vector<stream_options> streams;
+    for (std::size_t queue = 0; queue < names.size(); ++queue) {
+        for (std::size_t team = 0; team < callers.size(); ++team) {
+            const double mean = FLAGS_rate / static_cast<double>(callers.size());
+            for (std::size_t index = 0; index < targets.size(); ++index) {
+                // Each team has its own preferred daemon.
+                const auto &target = targets[(index + team) % targets.size()];
+                const double part = mean * unevenPart(index, targets.size());
+                streams.push_back(streamTo(target, callers[team], pathOf(names[queue]),
+                                           peakRate(queue, names.size(), part)));
+            }
+        }
+    }
+    return streams;
+}
+
+void addShareErrors(run_report &report)
+{
+    const auto callers = teams();
+    const double shares =
+        std::accumulate(callers.begin(), callers.end(), 0.0,
+                        [](double sum, const team_option &each) { return sum + each.share; });
+    const auto completed = static_cast<double>(std::max<std::uint64_t>(1, report.total.completed));
+    for (const team_option &each : callers)
+        report.shareErrors[each.name] =
+            static_cast<double>(report.teams[each.name].completed) / completed
+            - each.share / shares;
+}
+
+void runPeak(run_report &report)
+{
+    runStreams(peakStreams(), report);
+    addShareErrors(report);
+}
+
+/** Watches the number of running calls from its own thread while the streams run. */
+class running_watch
+{
+public:
+    explicit running_watch(std::uint64_t limit)
+        : m_limit{limit}
+        , m_watched{watched()}
+        , m_thread{[this] {
+            watch();
+        }}
+    { }
+    running_watch(const running_watch &) = delete;
+    running_watch &operator=(const running_watch &) = delete;
+    ~running_watch() { stop(); }
+
+    void stop()
+    {
+        m_over = true;
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    /** Preconditions of these two: stopped. */
+    [[nodiscard]] std::uint64_t most() const noexcept { return m_most; }
+    [[nodiscard]] std::chrono::milliseconds reached() const noexcept { return m_reached; }
+
+private:
+    void watch()
+    {
+        constexpr std::uint64_t percent = 95;
+        constexpr std::uint64_t whole = 100;
+        constexpr std::chrono::milliseconds interval{20};
+        const auto start = load_stream::clock::now();
+        while (!m_over) {
+            const std::uint64_t running = runningNow(m_watched);
+            m_most = std::max(m_most, running);
+            const auto now = load_stream::clock::now();
+            if (m_reached.count() == 0 && running * whole >= m_limit * percent)
+                m_reached = std::chrono::ceil<std::chrono::milliseconds>(now - start);
+            std::this_thread::sleep_for(interval);
+        }
+    }
+
+    std::uint64_t m_limit;
+    watched_processes m_watched;
+    std::atomic<bool> m_over{false};
+    std::uint64_t m_most{};
+    std::chrono::milliseconds m_reached{};
+    std::thread m_thread;
+};
+
+void runLimit(run_report &report)
+{
+    const team_option team = teams().front();
+    running_watch watch{team.limit};
+    runStreams(
+        {streamTo(daemons().front(), team, pathOf(queues().front()), constantRate(FLAGS_rate))},
+        report);
+    watch.stop();
+    report.mostRunning = watch.most();
+    report.mostOverLimit =
+        static_cast<std::int64_t>(watch.most()) - static_cast<std::int64_t>(team.limit);
+    report.timeToLimit = watch.reached();
+}
+
+void runConnections(run_report &report)
+{
+    boost::asio::io_context loop;
+    std::vector<boost::asio::ip::tcp::socket> sockets;
+    report.before = takeSample(watched());
+    for (int index = 0; index < FLAGS_connections; ++index) {
+        sockets.emplace_back(loop);
+        sockets.back().connect(daemons().front());
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{FLAGS_seconds});
+    report.after = takeSample(watched());
+    report.duration = duration();
+}
+
+void runIdle(run_report &report)
+{
+    report.before = takeSample(watched());
+    std::this_thread::sleep_for(std::chrono::seconds{FLAGS_seconds});
+    report.after = takeSample(watched());
+    report.duration = duration();
+}
+
+struct named_scenario
+{
+    std::string_view name;
+    void (*run)(run_report &);
+};
+
+constexpr named_scenario scenarios[]{{"steady", runSteady},
+                                     {"peak", runPeak},
+                                     {"limit", runLimit},
+                                     {"connections", runConnections},
+                                     {"idle", runIdle}};
+
+} // namespace
+
+run_report runScenario()
+{
+    const auto *const found =
+        std::find_if(std::begin(scenarios), std::end(scenarios),
+                     [](const named_scenario &each) { return each.name == FLAGS_scenario; });
+    if (found == std::end(scenarios))
+        throw usage_error{"--scenario is '" + FLAGS_scenario
+                          + "'; allowed: steady, peak, limit, connections, idle, seed"};
+    run_report report;
+    report.scenario = FLAGS_scenario;
+    report.label = FLAGS_label;
+    found->run(report);
+    return report;
+}
+
+} // namespace azurelb::bench
--- /dev/null
+++ b/src/azurelb_bench/stream_result.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <azurelb_bench/latency_samples.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azurelb::bench {
+
+/** What came of the calls of a stream. */
+struct stream_result
+{
+    std::uint64_t offered{};
+    std::uint64_t completed{};
+    /** Calls that failed, by status, or by "connection" if there was no answer. */
+    std::map<std::string, std::uint64_t> refused{};
+    /** Completed calls in each tenth of a second since the start. */
+    std::vector<std::uint64_t> completedByTenth{};
+    latency_samples latency{};
+
+    void add(const stream_result &other)
+    {
+        offered += other.offered;
+        completed += other.completed;
+        for (const auto &[kind, count] : other.refused)
+            refused[kind] += count;
+        if (completedByTenth.size() < other.completedByTenth.size())
+            completedByTenth.resize(other.completedByTenth.size());
+        for (std::size_t index = 0; index < other.completedByTenth.size(); ++index)
+            completedByTenth[index] += other.completedByTenth[index];
+        latency.add(other.latency);
+    }
+};
+
+} // namespace azurelb::bench
--- a/src/azurelbd/daemon_process.cpp
+++ b/src/azurelbd/daemon_process.cpp
@@ -8,6 +8,7 @@
 #include <azurelb/operations/operator_api.hpp>
 #include <azurelb/peer/nng_options.hpp>
 #include <azurelb/peer/nng_transport.hpp>
+#include <azurelb/peer/transport_metrics.hpp>
 #include <azurelb/platform/http_vm_controls.hpp>
 #include <azurelb/platform/polling_vm_list.hpp>
 #include <azurelb/request/caller_api.hpp>
@@ -90,6 +91,7 @@
     m_services.emplace<metrics>();
     m_services.emplace<etcd_store>(m_loop, m_clock, storeOptions(m_settings));
     m_services.emplace<nng_transport>(m_loop, peerOptions(m_settings));
+    m_services.emplace<transport_metrics>(m_loop);
     m_services.emplace<polling_vm_list>(m_loop, platform);
     m_services.emplace<http_vm_controls>(m_loop, platform);
 }
