Tests with real processes: whole path, graceful shutdown

Cause: the promises of the request path were tested per module only. First seen to fail: whole_path_test with the check for a missing key off (200 in place of 401). Conclusion: running_fleet starts stand-ins and daemons; caller_load and caller_client are the callers. Executors count runs by X-Test-Id, which stays the same over the attempts of a request.

--- a/test/standin/executor_mode.cpp
+++ b/test/standin/executor_mode.cpp
@@ -12,6 +12,14 @@
 namespace {
 
 constexpr std::string_view requestIdField{"X-Request-Id"};
+constexpr std::string_view testIdField{"X-Test-Id"};
+
+/** The id that stays the same over the attempts of one request, if a test has set it. */
+std::string countedId(const request &asked)
+{
+    const auto given = asked.find(testIdField);
+    return std::string{given == asked.end() ? asked[requestIdField] : given->value()};
+}
 
 } // namespace
 
@@ -30,7 +38,7 @@
     }
     status().set_running(status().running() + 1);
     status().set_most_running(std::max(status().most_running(), status().running()));
-    const std::uint32_t runs = ++(*m_runs.mutable_runs())[std::string{asked[requestIdField]}];
+    const std::uint32_t runs = ++(*m_runs.mutable_runs())[countedId(asked)];
     auto timer = std::make_shared<asio::steady_timer>(m_loop, runTime(asked));
     timer->async_wait([this, timer, &asked, runs, done](boost::system::error_code error) {
         if (!error)
--- a/test/standin/executor_mode.hpp
+++ b/test/standin/executor_mode.hpp
@@ -26,7 +26,7 @@
 
     void answer(const request &asked, answer_handler done) override;
 
-    /** GET runs shows how often each request id ran. */
+    /** GET runs shows how often each request ran, by X-Test-Id or, without it, X-Request-Id. */
     [[nodiscard]] response control(std::string_view path, const request &asked) override;
 
 private:
--- /dev/null
+++ b/test/support/caller_client.cpp
@@ -0,0 +1,120 @@
+#include "caller_client.hpp"
+#include "child_process.hpp"
+
+#include <azurelb/wire/platform.pb.h>
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <google/protobuf/util/json_util.h>
+
+namespace azurelb::test {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned http11{11};
+
+caller_client::request messageOf(const call &asked)
+{
+    caller_client::request message{http::verb::post, "/v1/queues/" + asked.queue, http11,
+                                   asked.body};
+    message.set(http::field::content_type, "application/json");
+    if (!asked.key.empty())
+        message.set(http::field::authorization, "Bearer " + asked.key);
+    if (!asked.id.empty())
+        message.set("X-Test-Id", asked.id);
+    if (asked.run)
+        message.set("X-Run-Ms", std::to_string(asked.run->count()));
+    if (asked.timeout)
+        message.set("Azurelb-Timeout-Ms", std::to_string(asked.timeout->count()));
+    if (!asked.idempotencyKey.empty())
+        message.set("Idempotency-Key", asked.idempotencyKey);
+    return message;
+}
+
+} // namespace
+
+std::string call_answer::run() const
+{
+    if (response[http::field::content_type] != "application/problem+json")
+        return {};
+    wire::problem document;
+    (void)google::protobuf::util::JsonStringToMessage(response.body(), &document);
+    return document.run();
+}
+
+call_answer caller_client::send(const call &asked)
+{
+    return send(messageOf(asked));
+}
+
+call_answer caller_client::send(request message)
+{
+    call_answer answer;
+    if (!connect())
+        return answer;
+    answer.progress = call_progress::cut;
+    if (!write(message) || !read(answer)) {
+        close();
+        return answer;
+    }
+    answer.progress = call_progress::answered;
+    if (!answer.response.keep_alive())
+        close();
+    return answer;
+}
+
+bool caller_client::begin(const call &asked)
+{
+    request message = messageOf(asked);
+    return connect() && write(message);
+}
+
+void caller_client::close()
+{
+    m_stream.close();
+    m_buffer.clear();
+    m_open = false;
+}
+
+bool caller_client::connect()
+{
+    if (m_open)
+        return true;
+    boost::system::error_code failure;
+    m_stream.expires_never();
+    m_stream.socket().close(failure);
+    m_stream.socket().connect(m_server, failure);
+    m_open = !failure;
+    return m_open;
+}
+
+bool caller_client::write(request &message)
+{
+    message.prepare_payload();
+    boost::system::error_code result;
+    m_stream.expires_after(generousWait);
+    http::async_write(m_stream, message, [&result](boost::system::error_code failure, std::size_t) {
+        result = failure;
+    });
+    m_loop.restart();
+    m_loop.run();
+    // The server may have answered and closed before it took everything.
+    return !result || result == boost::asio::error::broken_pipe
+        || result == boost::asio::error::connection_reset;
+}
+
+bool caller_client::read(call_answer &answer)
+{
+    boost::system::error_code result;
+    m_stream.expires_after(generousWait);
+    http::async_read(
+        m_stream, m_buffer, answer.response,
+        [&result](boost::system::error_code failure, std::size_t) { result = failure; });
+    m_loop.restart();
+    m_loop.run();
+    return !result;
+}
+
+} // namespace azurelb::test
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -64,6 +64,12 @@
     }
 }
 
+child_process::string_list child_process::lines()
+{
+    const std::lock_guard lock{m_mutex};
+    return m_lines;
+}
+
 void child_process::signal(int number) const
 {
     if (!m_ended)
--- a/test/support/child_process.hpp
+++ b/test/support/child_process.hpp
@@ -38,6 +38,9 @@
      */
     std::string waitForLine(std::string_view text, std::chrono::seconds limit = generousWait);
 
+    /** Everything that the program has written so far. */
+    [[nodiscard]] string_list lines();
+
     void signal(int number) const;
 
     /** Waits for the end; the exit code, or minus the number of the signal that ended it. */
--- /dev/null
+++ b/test/support/running_fleet.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "caller_client.hpp"
+#include "child_process.hpp"
+#include "reserved_port.hpp"
+#include "standin_process.hpp"
+
+#include <azurelb/wire/config.pb.h>
+#include <azurelb/wire/operations.pb.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace azurelb::test {
+
+/** What a running_fleet starts. */
+struct fleet_options
+{
+    std::size_t daemons{2};
+    std::size_t executors{4};
+    std::uint32_t slots{8};
+    std::chrono::milliseconds run{5};
+    std::uint32_t teamLimit{64};
+    /** A forwarder stands between the daemons and each executor. */
+    bool forwarders{false};
+    std::vector<std::string> daemonFlags{};
+};
+
+/** What an operator's call ended with. */
+struct operator_answer
+{
+    unsigned status{0};
+    std::string body{};
+};
+
+/** Waits until the condition holds; false if it does not within a generous limit. */
+template <typename Condition>
+[[nodiscard]] bool eventually(Condition condition, std::chrono::seconds limit = generousWait)
+{
+    constexpr std::chrono::milliseconds pollInterval{20};
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+/**
+ * A whole installation on loopback: the store, the platform and executors as stand-ins, and
+ * daemons. The executors stand in four availability zones by turns, all in one pool that serves
+ * the queues "plan" (idempotent), "order" (not idempotent) and "open" (open to all). The team
+ * "lecco" has a key.
+ */
+class running_fleet
+{
+public:
+    using endpoint = boost::asio::ip::tcp::endpoint;
+    using run_counts = std::map<std::string, std::uint32_t>;
+
+    /** Returns when every daemon is ready and knows the configuration and all executors. */
+    explicit running_fleet(fleet_options options = {});
+
+    [[nodiscard]] standin_process &store() noexcept { return m_store; }
+    [[nodiscard]] standin_process &executors() noexcept { return m_executors; }
+    [[nodiscard]] standin_process &forwarder(std::size_t index) { return *m_forwarders.at(index); }
+    [[nodiscard]] child_process &daemon(std::size_t index) { return *m_daemons.at(index).process; }
+    [[nodiscard]] std::size_t size() const noexcept { return m_daemons.size(); }
+
+    /** Starts the daemon of that index again, under its name and on its ports. */
+    void restart(std::size_t index);
+
+    [[nodiscard]] bool isReady(std::size_t index) const;
+    [[nodiscard]] wire::status status(std::size_t index) const;
+
+    /** Sends one change to the daemon of that index; an id is chosen if it has none. */
+    operator_answer change(std::size_t index, wire::change wanted);
+
+    /** A GET of that path on the operators' port. */
+    [[nodiscard]] operator_answer get(std::size_t index, const std::string &path) const;
+
+    /** Waits until every running daemon of the list has applied that many changes. */
+    [[nodiscard]] bool isInForce(std::uint64_t generation, const std::vector<std::size_t> &daemons);
+
+    /** Where callers of the daemon of that index connect. */
+    [[nodiscard]] endpoint callers(std::size_t index) const;
+
+    [[nodiscard]] const std::string &key() const noexcept { return m_key; }
+    [[nodiscard]] const std::string &operatorToken() const noexcept { return m_token; }
+
+    /** A request of the team, with its key. */
+    [[nodiscard]] call callOf(std::string queue, std::string id = {}) const;
+
+    /** Sends one request on a connection of its own. */
+    [[nodiscard]] call_answer send(std::size_t index, const call &asked) const;
+
+    /** How often each X-Test-Id ran, over all executors. */
+    [[nodiscard]] run_counts runs();
+
+    /** Requests running now, over all executors. */
+    [[nodiscard]] std::uint32_t running();
+
+private:
+    struct daemon_entry
+    {
+        reserved_port callers{};
+        reserved_port operators{};
+        reserved_port peers{};
+        std::unique_ptr<child_process> process{};
+    };
+
+    [[nodiscard]] std::vector<std::string> flagsOf(std::size_t index) const;
+    void startForwarders();
+    void publishVms();
+    void placeVms();
+    void configure();
+    void mustChange(const wire::change &wanted);
+
+    fleet_options m_options;
+    std::string m_key{"alb-0123456789abcdef0123456789abcdef"};
+    std::string m_token{"operator-token-0123456789"};
+    standin_process m_store;
+    standin_process m_platform;
+    standin_process m_executors;
+    std::vector<std::unique_ptr<standin_process>> m_forwarders;
+    std::vector<daemon_entry> m_daemons;
+    std::uint64_t m_changes{0};
+};
+
+} // namespace azurelb::test
