Planner joined to the daemon: running requests, demand and probes

Cause: the planner's service had no reporter of running requests; it dated the list of VMs by its last change, so that an unchanged list looked ten seconds old and nothing more was planned; and a plan made just before a zone was taken out could be committed after it. Ruled out: counting by receipt time, which a paused planner would misread; the answer repeats the planner's own time of asking. Conclusion: the fleet document is compared together with the revision of the configuration that it was planned with.

--- a/src/azurelb/activity/activity_collector.cpp
+++ b/src/azurelb/activity/activity_collector.cpp
@@ -43,11 +43,13 @@
 } // namespace
 
 void activity_collector::update(const member &from, const wire::activity_report &report,
-                                time_point now)
+                                time_point askedAt)
 {
     daemon_activity &daemon = m_daemons[from];
     const bool isFirst = daemon.at == time_point{};
-    daemon.at = now;
+    if (askedAt < daemon.at)
+        return;
+    daemon.at = askedAt;
     daemon.running.clear();
     for (const wire::vm_activity &each : report.vms())
         daemon.running[vm_id{each.vm()}] = each.running();
@@ -65,18 +67,20 @@
     });
 }
 
-std::optional<std::uint32_t>
-activity_collector::running(const vm_id &vm, std::span<const member> members, time_point now) const
+vm_observation activity_collector::observe(const vm_id &vm, std::span<const member> members,
+                                           time_point now) const
 {
-    std::uint32_t sum = 0;
+    vm_observation seen{vm, 0, probe_result::unknown, now};
     for (const member &each : members) {
         const auto found = m_daemons.find(each);
         if (found == m_daemons.end() || now - found->second.at > reportAge)
-            return std::nullopt;
+            return {vm, std::nullopt, probe_result::unknown, now};
         const auto counted = found->second.running.find(vm);
-        sum += counted == found->second.running.end() ? 0 : counted->second;
+        seen.running =
+            *seen.running + (counted == found->second.running.end() ? 0 : counted->second);
+        seen.at = std::min(seen.at, found->second.at);
     }
-    return sum;
+    return seen;
 }
 
 std::vector<queue_demand> activity_collector::takeDemand(time_point now)
--- a/src/azurelb/activity/activity_collector.hpp
+++ b/src/azurelb/activity/activity_collector.hpp
@@ -4,11 +4,11 @@
 #include <azurelb/activity/queue_totals.hpp>
 #include <azurelb/core/identifier.hpp>
 #include <azurelb/fleet/queue_demand.hpp>
+#include <azurelb/fleet/vm_observation.hpp>
 #include <azurelb/membership/member.hpp>
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <span>
 #include <vector>
 
@@ -25,15 +25,18 @@
     /** Reports older than this count as missing. */
     static constexpr std::chrono::seconds reportAge{5};
 
-    /** Takes in a daemon's report. */
-    void update(const member &from, const wire::activity_report &report, time_point now);
+    /** Takes in a daemon's report, which describes a moment not before it was asked for. */
+    void update(const member &from, const wire::activity_report &report, time_point askedAt);
 
     /** Drops daemons that are no longer members. */
     void retain(std::span<const member> members);
 
-    /** Requests running on the VM; nothing if the report of one of the members is missing. */
-    [[nodiscard]] std::optional<std::uint32_t>
-    running(const vm_id &vm, std::span<const member> members, time_point now) const;
+    /**
+     * Requests running on the VM over all members, described at a moment not before `at`. Nothing
+     * if the report of one of the members is missing.
+     */
+    [[nodiscard]] vm_observation observe(const vm_id &vm, std::span<const member> members,
+                                         time_point now) const;
 
     /** Demand of each queue since the last call; empty at the first. */
     [[nodiscard]] std::vector<queue_demand> takeDemand(time_point now);
--- /dev/null
+++ b/src/azurelb/activity/activity_reporter.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <azurelb/activity/fwd.hpp>
+#include <azurelb/fleet/connect_reporter.hpp>
+#include <azurelb/fleet/vm_reporter.hpp>
+#include <azurelb/membership/fwd.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+namespace azurelb {
+
+/** Running requests and demand as the daemons report them, and probes by connections. */
+class activity_reporter final : public vm_reporter
+{
+public:
+    activity_reporter(boost::asio::io_context &loop, const clock_source &clock,
+                      activity_service &activity, const membership &members);
+
+    void refresh(const wire::fleet_document &fleet, const wire::vm_list &list) override;
+    [[nodiscard]] std::vector<vm_observation> observe() const override;
+    [[nodiscard]] std::vector<queue_demand> demand() const override { return m_demand; }
+
+private:
+    const clock_source &m_clock;
+    activity_service &m_activity;
+    const membership &m_members;
+    connect_reporter m_probes;
+    std::vector<vm_id> m_draining{};
+    std::vector<queue_demand> m_demand{};
+};
+
+} // namespace azurelb
--- a/src/azurelb/activity/activity_service.cpp
+++ b/src/azurelb/activity/activity_service.cpp
@@ -17,6 +17,17 @@
 
 constexpr std::chrono::seconds interval{1};
 
+std::int64_t toCount(time_point at)
+{
+    const auto sinceStart = at.time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+}
+
+time_point toTime(std::int64_t count)
+{
+    return time_point{std::chrono::microseconds{count}};
+}
+
 std::optional<vm_id> plannerAmong(const std::vector<member> &members)
 {
     std::vector<vm_id> vms;
@@ -37,13 +48,9 @@
 {
     m_members = &services.find<membership>(membership::serviceName);
     m_transport = &services.find<peer_transport>(peer_transport::serviceName);
-    m_transport->subscribe(serviceName, [this](const wire::envelope &envelope) {
-        wire::activity_report report;
-        const member from{vm_id{envelope.from_vm()}, incarnation{envelope.from_incarnation()}};
-        if (report.ParseFromString(envelope.payload()))
-            m_collector.update(from, report, m_clock.now());
-    });
-    report();
+    m_transport->subscribe(serviceName,
+                           [this](const wire::envelope &envelope) { receive(envelope); });
+    ask();
 }
 
 void activity_service::stop() noexcept
@@ -56,20 +63,41 @@
     return plannerAmong(m_members->fresh()) == m_transport->self();
 }
 
-void activity_service::report()
+void activity_service::ask()
 {
     const std::vector<member> fresh = m_members->fresh();
     m_collector.retain(fresh);
-    if (const auto planner = plannerAmong(fresh)) {
-        wire::activity_report report;
-        m_recorder.write(report);
-        m_transport->send(*planner, serviceName, report);
+    if (plannerAmong(fresh) == m_transport->self()) {
+        wire::activity_message message;
+        message.mutable_query()->set_asked_at_us(toCount(m_clock.now()));
+        for (const member &each : fresh)
+            m_transport->send(each.vm, serviceName, message);
     }
     m_timer.expires_after(interval);
     m_timer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled)
-            report();
+            ask();
     });
 }
 
+void activity_service::receive(const wire::envelope &envelope)
+{
+    wire::activity_message message;
+    if (!message.ParseFromString(envelope.payload()))
+        return;
+    const member from{vm_id{envelope.from_vm()}, incarnation{envelope.from_incarnation()}};
+    if (message.has_query())
+        answer(from.vm, message.query());
+    if (message.has_report())
+        m_collector.update(from, message.report(), toTime(message.report().asked_at_us()));
+}
+
+void activity_service::answer(const vm_id &planner, const wire::activity_query &query)
+{
+    wire::activity_message message;
+    m_recorder.write(*message.mutable_report());
+    message.mutable_report()->set_asked_at_us(query.asked_at_us());
+    m_transport->send(planner, serviceName, message);
+}
+
 } // namespace azurelb
--- a/src/azurelb/activity/activity_service.hpp
+++ b/src/azurelb/activity/activity_service.hpp
@@ -11,9 +11,13 @@
 
 namespace azurelb {
 
+namespace wire {
+class activity_query;
+} // namespace wire
+
 /**
- * Counts this daemon's work and reports it to the daemon that plans the fleet, which is the owner
- * of the planner's name by rendezvous hashing over the fresh members.
+ * Counts this daemon's work and reports it to the daemon that plans the fleet when that one asks.
+ * The planner is the owner of its key by rendezvous hashing over the fresh members.
  */
 class activity_service final : public service
 {
@@ -39,7 +43,9 @@
     [[nodiscard]] bool isPlanner() const;
 
 private:
-    void report();
+    void ask();
+    void receive(const wire::envelope &envelope);
+    void answer(const vm_id &planner, const wire::activity_query &query);
 
     const clock_source &m_clock;
     boost::asio::steady_timer m_timer;
--- a/src/azurelb/config/fleet_commit.cpp
+++ b/src/azurelb/config/fleet_commit.cpp
@@ -36,6 +36,9 @@
     , m_expected{expected}
 {
     requireRevision(m_request, fleetKey, expected);
+    // A plan made before a change of the configuration may break what the change asks for.
+    if (m_document.config_revision() > 0)
+        requireRevision(m_request, configKey, revision{m_document.config_revision()});
     operations &writes = *m_request.mutable_success();
     addPut(writes, fleetKey, m_document.SerializeAsString());
     std::size_t index = 0;
--- a/src/azurelb/fleet/connect_reporter.cpp
+++ b/src/azurelb/fleet/connect_reporter.cpp
@@ -1,10 +1,10 @@
 #include <azurelb/fleet/connect_reporter.hpp>
 
 #include <azurelb/fleet/vm_index.hpp>
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/wire/fleet.pb.h>
 #include <azurelb/wire/platform.pb.h>
 
-#include <charconv>
 #include <optional>
 
 namespace azurelb {
@@ -16,21 +16,6 @@
 /** A connection that is not there after this time counts as failed. */
 constexpr std::chrono::seconds connectTimeout{2};
 
-std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    boost::system::error_code failure;
-    const auto host = boost::asio::ip::make_address(address.substr(0, colon), failure);
-    std::uint16_t port = 0;
-    const char *end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (failure || parsed.ec != std::errc{} || parsed.ptr != end)
-        return std::nullopt;
-    return tcp::endpoint{host, port};
-}
-
 } // namespace
 
 struct connect_reporter::probe
--- a/src/azurelb/fleet/planner_service.cpp
+++ b/src/azurelb/fleet/planner_service.cpp
@@ -76,14 +76,10 @@
     });
 }
 
-/** The age of a list counts from the step that first saw it. */
 void planner_service::takeList()
 {
-    const vm_list_ptr newest = m_lists->list();
-    if (newest == m_list)
-        return;
-    m_list = newest;
-    m_listedAt = m_clock.now();
+    m_list = m_lists->list();
+    m_listedAt = m_lists->askedAt();
 }
 
 void planner_service::choosePlanner()
--- a/src/azurelbd/daemon_process.cpp
+++ b/src/azurelbd/daemon_process.cpp
@@ -1,6 +1,8 @@
+#include <azurelb/activity/activity_reporter.hpp>
 #include <azurelb/activity/activity_service.hpp>
 #include <azurelb/config/replica_options.hpp>
 #include <azurelb/config/replicated_documents.hpp>
+#include <azurelb/fleet/planner_service.hpp>
 #include <azurelb/http/endpoint.hpp>
 #include <azurelb/limits/ledger_limit_service.hpp>
 #include <azurelb/log/log.hpp>
@@ -72,6 +74,8 @@
     addRequestServices();
 }
 
+daemon_process::~daemon_process() = default;
+
 void daemon_process::run()
 {
     awaitSignal();
@@ -110,7 +114,10 @@
 void daemon_process::addRequestServices()
 {
     m_services.emplace<dispatched_slot_service>(m_loop, m_clock, shareOptions(m_settings));
-    m_services.emplace<activity_service>(m_loop, m_clock);
+    auto &activity = m_services.emplace<activity_service>(m_loop, m_clock);
+    const auto &members = m_services.find<membership>(membership::serviceName);
+    m_reporter = std::make_unique<activity_reporter>(m_loop, m_clock, activity, members);
+    m_services.emplace<planner_service>(m_loop, m_clock, *m_reporter);
     m_services.emplace<caller_api>(m_loop, m_clock, m_settings.callers, m_settings.connections);
     m_services.emplace<operator_api>(m_loop, m_settings);
 }
--- a/src/azurelbd/daemon_process.hpp
+++ b/src/azurelbd/daemon_process.hpp
@@ -8,8 +8,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <memory>
+
 namespace azurelb {
 
+class vm_reporter;
+
 /** One azurelbd process: its services and its life from start to graceful shutdown. */
 class daemon_process
 {
@@ -19,6 +23,8 @@
     daemon_process(const daemon_process &) = delete;
     daemon_process &operator=(const daemon_process &) = delete;
 
+    ~daemon_process();
+
     /** Runs until a graceful shutdown, ordered by SIGTERM or SIGINT, is complete. */
     void run();
 
@@ -32,6 +38,8 @@
     steady_clock_source m_clock{};
     boost::asio::io_context m_loop{1};
     boost::asio::signal_set m_signals;
+    /** Outlives the planner, which is one of the services. */
+    std::unique_ptr<vm_reporter> m_reporter;
     kernel m_services{};
     shutdown_sequence m_shutdown;
 };
