--- a/src/azurelb/config/apply_change.cpp
+++ b/src/azurelb/config/apply_change.cpp
@@ -213,6 +213,16 @@
     return add(target, waves, target.change.start_wave(), "wave");
 }
 
+/** A wave that has paused itself goes on once its generation has changed. */
+checked resumeWave(const edit &target)
+{
+    const std::string &id = target.change.resume_wave();
+    BOOST_LEAF_AUTO(found, checkExists(target, *target.document().mutable_waves(), id, "wave"));
+    BOOST_LEAF_CHECK(require(!found->stopped(), "wave", id, "a wave that is not stopped"));
+    setAfter(target, *found);
+    return {};
+}
+
 checked stopWave(const edit &target)
 {
     const std::string &id = target.change.stop_wave();
@@ -250,6 +260,7 @@
     verb_entry{wire::change::kSetPreferences, "set_preferences", &setPreferences},
     verb_entry{wire::change::kStartWave, "start_wave", &startWave},
     verb_entry{wire::change::kStopWave, "stop_wave", &stopWave},
+    verb_entry{wire::change::kResumeWave, "resume_wave", &resumeWave},
     verb_entry{wire::change::kOrderMove, "order_move", &orderMove},
 };
 
--- a/src/azurelb/limits/ledger_limit_service.cpp
+++ b/src/azurelb/limits/ledger_limit_service.cpp
@@ -255,6 +255,11 @@
     }
 }
 
+bool ledger_limit_service::isClosed() const noexcept
+{
+    return m_ledger && m_ledger->isClosed();
+}
+
 void ledger_limit_service::publish(time_point now)
 {
     m_publishedAt = now;
--- a/src/azurelb/limits/ledger_limit_service.hpp
+++ b/src/azurelb/limits/ledger_limit_service.hpp
@@ -49,6 +49,9 @@
      */
     void handOver();
 
+    /** True once this daemon was declared gone: it holds no rights and will get none. */
+    [[nodiscard]] bool isClosed() const noexcept;
+
     /** What this daemon knows of a team's limit. */
     [[nodiscard]] rights_status status(const team_name &team) const;
 
--- a/src/azurelb/operations/fwd.hpp
+++ b/src/azurelb/operations/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace azurelb {
 
+struct zone_check;
 class operator_api;
 class operator_directory;
 
--- a/src/azurelb/operations/operator_api.cpp
+++ b/src/azurelb/operations/operator_api.cpp
@@ -10,6 +10,8 @@
 #include <azurelb/metrics/metrics.hpp>
 #include <azurelb/operations/make_status.hpp>
 #include <azurelb/operations/operator_api.hpp>
+#include <azurelb/operations/zone_check.hpp>
+#include <azurelb/platform/vm_list_source.hpp>
 #include <azurelb/request/caller_api.hpp>
 #include <azurelb/upstream/upstream_directory.hpp>
 
@@ -122,6 +124,7 @@
     m_documents = &services.find<document_source>(document_source::serviceName);
     m_members = &services.find<membership>(membership::serviceName);
     m_upstreams = &services.find<upstream_directory>(upstream_directory::serviceName);
+    m_list = &services.find<vm_list_source>(vm_list_source::serviceName);
     m_metrics = &services.find<metrics>(metrics::serviceName);
     m_callers = &services.find<caller_api>(caller_api::serviceName);
     m_server = std::make_unique<http_server>(
@@ -223,12 +226,25 @@
         co_return errorResponse(change_error::invalid,
                                 "not a change: " + std::string{parsed.message()});
     change.set_operator_name(std::string{operatorOf(request)});
-    const auto outcome = co_await awaitCallback<change_outcome>(
+    const auto list = m_list->list();
+    const zone_check check =
+        checkZones(change, *m_documents->config(), *m_documents->fleet(), list.get());
+    if (check.error != change_error::none)
+        co_return errorResponse(check.error, check.detail);
+    co_return co_await submit(change, check.costs);
+}
+
+operator_api::response_awaitable operator_api::submit(const wire::change &change,
+                                                      const std::vector<std::string> &costs)
+{
+    auto outcome = co_await awaitCallback<change_outcome>(
         m_loop, [&](change_handler done) { m_documents->submit(change, std::move(done)); });
     if (!outcome)
         throw boost::system::system_error{boost::asio::error::operation_aborted};
     if (outcome->error != change_error::none)
         co_return errorResponse(outcome->error, outcome->detail);
+    for (const std::string &cost : costs)
+        outcome->result.add_costs(cost);
     co_return messageResponse(outcome->result);
 }
 
--- a/src/azurelb/operations/operator_api.hpp
+++ b/src/azurelb/operations/operator_api.hpp
@@ -12,12 +12,19 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace azurelb {
 
+namespace wire {
+class change;
+} // namespace wire
+
 class caller_api;
 class http_server;
+class vm_list_source;
 
 /**
  * The operators' interface, on its own address:
@@ -63,6 +70,8 @@
     [[nodiscard]] response_awaitable getStatus(const http_request &request);
     [[nodiscard]] response_awaitable getAudit(const http_request &request);
     [[nodiscard]] response_awaitable postChange(const http_request &request);
+    [[nodiscard]] response_awaitable submit(const wire::change &change,
+                                            const std::vector<std::string> &costs);
     [[nodiscard]] response_awaitable getMetrics(const http_request &request);
     [[nodiscard]] response_awaitable getHealth(const http_request &request);
     [[nodiscard]] response_awaitable getReadiness(const http_request &request);
@@ -74,6 +83,7 @@
     document_source *m_documents{nullptr};
     membership *m_members{nullptr};
     upstream_directory *m_upstreams{nullptr};
+    vm_list_source *m_list{nullptr};
     metrics *m_metrics{nullptr};
     caller_api *m_callers{nullptr};
     std::unique_ptr<http_server> m_server;
--- a/src/azurelb_bench/scenarios.cpp
+++ b/src/azurelb_bench/scenarios.cpp
@@ -140,7 +140,7 @@
 
 std::vector<std::string> queues()
 {
-    const auto all = split(FLAGS_queues, ',');
+    auto all = split(FLAGS_queues, ',');
     if (all.empty())
         throw usage_error{"--queues is empty; allowed: NAME,..."};
     return all;
--- a/src/azurelb_cli/change_commands.cpp
+++ b/src/azurelb_cli/change_commands.cpp
@@ -46,6 +46,8 @@
     }
     std::cout << "done: change " << result.generation() << " is committed, in force on "
               << result.in_force_on() << " of " << result.members() << " daemons\n";
+    for (const std::string &cost : result.costs())
+        std::cout << "cost: " << cost << '\n';
 }
 
 void submit(const daemon_client &client, const wire::change &change)
@@ -228,6 +230,13 @@
     submit(client, change);
 }
 
+void resumeWave(const daemon_client &client, const command_words &arguments)
+{
+    wire::change change = newChange();
+    change.set_resume_wave(arguments[0]);
+    submit(client, change);
+}
+
 void stopWave(const daemon_client &client, const command_words &arguments)
 {
     wire::change change = newChange();
--- a/src/azurelb_cli/change_commands.hpp
+++ b/src/azurelb_cli/change_commands.hpp
@@ -20,6 +20,7 @@
 void bringZoneIn(const daemon_client &client, const command_words &arguments);
 void setPreferences(const daemon_client &client, const command_words &arguments);
 void startWave(const daemon_client &client, const command_words &arguments);
+void resumeWave(const daemon_client &client, const command_words &arguments);
 void stopWave(const daemon_client &client, const command_words &arguments);
 void orderMove(const daemon_client &client, const command_words &arguments);
 void submitRequest(const daemon_client &client, const command_words &arguments);
--- a/src/azurelb_cli/command.cpp
+++ b/src/azurelb_cli/command.cpp
@@ -36,6 +36,7 @@
      "states what weighs most, each 0 to 10", setPreferences},
     {"wave list", "", 0, "", "maintenance waves and their progress", listWaves},
     {"wave start", "WAVE", 1, "--pools", "maintains every VM of the pools", startWave},
+    {"wave resume", "WAVE", 1, "", "lets a wave go on that has paused itself", resumeWave},
     {"wave stop", "WAVE", 1, "", "starts no further VM of a wave", stopWave},
     {"move", "VM POOL", 2, "", "moves a VM, drained first", orderMove},
     {"vm list", "", 0, "", "VMs, pools and states", listVms},
--- a/test/azurelb/config/apply_change_test.cpp
+++ b/test/azurelb/config/apply_change_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(withdrawsKeys);
     CPPUNIT_TEST(takesZonesOutAndIn);
     CPPUNIT_TEST(startsAndStopsWaves);
+    CPPUNIT_TEST(resumesWaves);
     CPPUNIT_TEST(boundsTheDocument);
     CPPUNIT_TEST_SUITE_END();
 
@@ -179,6 +180,18 @@
         refuse(stop, change_error::invalid);
     }
 
+    void resumesWaves()
+    {
+        make(waveChange("loft"));
+        const std::uint64_t started = m_document.waves(0).generation();
+        wire::change resume = sampleChange("c7");
+        resume.set_resume_wave("w1");
+        make(resume);
+        CPPUNIT_ASSERT(m_document.waves(0).generation() > started);
+        resume.set_resume_wave("none");
+        refuse(resume, change_error::invalid);
+    }
+
     void boundsTheDocument()
     {
         wire::config_document full = m_document;
