--- a/src/azurelb_bench/flags.cpp
+++ b/src/azurelb_bench/flags.cpp
@@ -2,7 +2,7 @@
 
 #include <gflags/gflags.h>
 
-DEFINE_string(scenario, "steady", "steady, peak, limit, connections, idle or seed");
+DEFINE_string(scenario, "steady", "steady, peak, limit, zone, connections, idle or seed");
 DEFINE_string(daemons, "", "Daemons' ports for callers: IP:PORT,...");
 DEFINE_string(operators, "", "Daemons' ports for operators, for their metrics: IP:PORT,...");
 DEFINE_string(executors, "", "Executors' stand-ins: IP:PORT,...");
--- a/src/azurelb_bench/scenarios.cpp
+++ b/src/azurelb_bench/scenarios.cpp
@@ -146,7 +146,7 @@
     return all;
 }
 
-void runSteady(run_report &report)
+std::vector<stream_options> steadyStreams()
 {
     const auto targets = daemons();
     const auto callers = teams();
@@ -313,11 +313,9 @@
     void (*run)(run_report &);
 };
 
-constexpr named_scenario scenarios[]{{"steady", runSteady},
-                                     {"peak", runPeak},
-                                     {"limit", runLimit},
-                                     {"connections", runConnections},
-                                     {"idle", runIdle}};
+constexpr named_scenario scenarios[]{
+    {"steady", runSteady},           {"peak", runPeak}, {"limit", runLimit}, {"zone", runZone},
+    {"connections", runConnections}, {"idle", runIdle}};
 
 } // namespace
 
@@ -328,7 +326,7 @@
                      [](const named_scenario &each) { return each.name == FLAGS_scenario; });
     if (found == std::end(scenarios))
         throw usage_error{"--scenario is '" + FLAGS_scenario
-                          + "'; allowed: steady, peak, limit, connections, idle, seed"};
+                          + "'; allowed: steady, peak, limit, zone, connections, idle, seed"};
     run_report report;
     report.scenario = FLAGS_scenario;
     report.label = FLAGS_label;
