--- a/src/azurelb_bench/scenarios.cpp
+++ b/src/azurelb_bench/scenarios.cpp
@@ -157,8 +157,19 @@
             streams.push_back(
                 streamTo(target, team, pathOf(queues().front()), constantRate(FLAGS_rate / parts)));
     }
+    return streams;
+}
+
+void runSteady(run_report &report)
+{
     report.direct = runDirect();
-    runStreams(streams, report);
+    runStreams(steadyStreams(), report);
+}
+
+/** No direct calls before, so that the times of the zone's change count from the start. */
+void runZone(run_report &report)
+{
+    runStreams(steadyStreams(), report);
 }
 
 /** Five times the mean while it is the queue's turn, a twentieth of the mean in between. */
