--- a/src/azurelb_bench/scenarios.cpp
+++ b/src/azurelb_bench/scenarios.cpp
@@ -146,7 +146,7 @@
     return all;
 }
 
-void runSteady(run_report &report)
+std::vector<stream_options> steadyStreams()
 {
     const auto targets = daemons();
     const auto callers = teams();
@@ -157,8 +157,19 @@
             streams.push_back(
                 streamTo(target, team, pathOf(queues().front()), constantRate(FLAGS_rate / parts)));
     }
+    return streams;
+}
+
+void runSteady(run_report &report)
+{
     report.direct = runDirect();
-    runStreams(streams, report);
+    runStreams(steadyStreams(), report);
+}
+
+/** No direct calls before, so that the times of the zone's change count from the start. */
+void runZone(run_report &report)
+{
+    runStreams(steadyStreams(), report);
 }
 
 /** Five times the mean while it is the queue's turn, a twentieth of the mean in between. */
@@ -313,11 +324,9 @@
     void (*run)(run_report &);
 };
 
-constexpr named_scenario scenarios[]{{"steady", runSteady},
-                                     {"peak", runPeak},
-                                     {"limit", runLimit},
-                                     {"connections", runConnections},
-                                     {"idle", runIdle}};
+constexpr named_scenario scenarios[]{
+    {"steady", runSteady},           {"peak", runPeak}, {"limit", runLimit}, {"zone", runZone},
+    {"connections", runConnections}, {"idle", runIdle}};
 
 } // namespace
 
@@ -328,7 +337,7 @@
                      [](const named_scenario &each) { return each.name == FLAGS_scenario; });
     if (found == std::end(scenarios))
         throw usage_error{"--scenario is '" + FLAGS_scenario
-                          + "'; allowed: steady, peak, limit, connections, idle, seed"};
+                          + "'; allowed: steady, peak, limit, zone, connections, idle, seed"};
     run_report report;
     report.scenario = FLAGS_scenario;
     report.label = FLAGS_label;
