--- /dev/null
+++ b/test/azurelb/system/killed_daemon_test.cpp
@@ -0,0 +1,100 @@
+#include "support/caller_load.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+
+namespace {
+
+using namespace azurelb;
+using test::caller_load;
+using test::running_fleet;
+
+constexpr std::size_t callers{18};
+constexpr std::uint32_t teamLimit{6};
+constexpr std::size_t some{60};
+
+// One executor with more slots than the team may use counts the team's running requests exactly.
+test::fleet_options limitedFleet()
+{
+    test::fleet_options made;
+    made.daemons = 3;
+    made.executors = 1;
+    made.slots = 32;
+    made.teamLimit = teamLimit;
+    made.run = std::chrono::milliseconds{20};
+    return made;
+}
+
+caller_load::maker ordersOf(const running_fleet &fleet)
+{
+    return [&fleet](std::size_t number) {
+        return fleet.callOf("order", "order-" + std::to_string(number));
+    };
+}
+
+class killed_daemon_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(killed_daemon_test);
+    CPPUNIT_TEST(limitHoldsOverKillAndRestartUnderTheSameName);
+    CPPUNIT_TEST(limitHoldsOverAPausePastEveryTimeout);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void limitHoldsOverKillAndRestartUnderTheSameName()
+    {
+        running_fleet fleet{limitedFleet()};
+        caller_load load{fleet, callers, ordersOf(fleet)};
+        CPPUNIT_ASSERT(load.goOn(some));
+        fleet.daemon(2).signal(SIGKILL);
+        CPPUNIT_ASSERT_EQUAL(-SIGKILL, fleet.daemon(2).waitForExit());
+        CPPUNIT_ASSERT(load.goOn(some, 0));
+        CPPUNIT_ASSERT(load.goOn(some, 1));
+        fleet.restart(2);
+        CPPUNIT_ASSERT(test::eventually([&] { return fleet.isReady(2); }));
+        const auto serves = [&] {
+            return fleet.send(2, fleet.callOf("order")).status() == 200;
+        };
+        CPPUNIT_ASSERT(test::eventually(serves));
+        CPPUNIT_ASSERT(load.goOn(some));
+        assertLimit(fleet, load);
+    }
+
+    // Longer than leases, heartbeats and the freshness of a view.
+    void limitHoldsOverAPausePastEveryTimeout()
+    {
+        constexpr std::chrono::seconds pause{10};
+        running_fleet fleet{limitedFleet()};
+        caller_load load{fleet, callers, ordersOf(fleet)};
+        CPPUNIT_ASSERT(load.goOn(some));
+        fleet.daemon(2).signal(SIGSTOP);
+        const auto resumeAt = std::chrono::steady_clock::now() + pause;
+        CPPUNIT_ASSERT(load.goOn(some, 0));
+        CPPUNIT_ASSERT(load.goOn(some, 1));
+        std::this_thread::sleep_until(resumeAt);
+        fleet.daemon(2).signal(SIGCONT);
+        CPPUNIT_ASSERT(load.goOn(some, 2));
+        assertLimit(fleet, load);
+    }
+
+private:
+    static void assertLimit(running_fleet &fleet, caller_load &load)
+    {
+        const auto records = load.stop();
+        const std::uint32_t most = fleet.executors().status().most_running();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= teamLimit);
+        CPPUNIT_ASSERT_MESSAGE("the limit was reached", most == teamLimit);
+        const auto runs = fleet.runs();
+        for (const test::load_record &each : records) {
+            const auto found = runs.find(each.asked.id);
+            const std::uint32_t ran = found == runs.end() ? 0 : found->second;
+            CPPUNIT_ASSERT_MESSAGE(each.asked.id, ran <= 1);
+            if (each.answer.run() == "not-run")
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(each.asked.id, 0U, ran);
+        }
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(killed_daemon_test);
--- a/test/support/caller_load.cpp
+++ b/test/support/caller_load.cpp
@@ -10,9 +10,11 @@
 
 } // namespace
 
-caller_load::caller_load(const running_fleet &fleet, std::size_t callers, maker make)
+caller_load::caller_load(const running_fleet &fleet, std::size_t callers, maker make,
+                         std::size_t most)
     : m_fleet{fleet}
     , m_make{std::move(make)}
+    , m_most{most}
     , m_servedBy(fleet.size())
 {
     for (std::size_t index = 0; index < callers; ++index)
@@ -39,6 +41,11 @@
 caller_load::record_list caller_load::stop()
 {
     m_stopped = true;
+    return finish();
+}
+
+caller_load::record_list caller_load::finish()
+{
     for (std::thread &each : m_callers)
         each.join();
     m_callers.clear();
@@ -56,8 +63,8 @@
         client.close();
         client.setServer(m_fleet.callers(daemon));
     };
-    while (!m_stopped) {
-        load_record record{m_make(m_next++), {}, daemon, std::chrono::steady_clock::now()};
+    for (std::size_t number = m_next++; !m_stopped && number < m_most; number = m_next++) {
+        load_record record{m_make(number), {}, daemon, std::chrono::steady_clock::now()};
         record.answer = client.send(record.asked);
         while (record.answer.progress == call_progress::not_connected && !m_stopped) {
             std::this_thread::sleep_for(pause);
--- a/test/support/caller_load.hpp
+++ b/test/support/caller_load.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -34,7 +35,9 @@
     using maker = std::function<call(std::size_t)>;
     using record_list = std::vector<load_record>;
 
-    caller_load(const running_fleet &fleet, std::size_t callers, maker make);
+    /** Starts the callers; they end by themselves after that many requests, if it is given. */
+    caller_load(const running_fleet &fleet, std::size_t callers, maker make,
+                std::size_t most = std::numeric_limits<std::size_t>::max());
     caller_load(const caller_load &) = delete;
     caller_load &operator=(const caller_load &) = delete;
     ~caller_load();
@@ -54,12 +57,16 @@
     /** Lets every caller end its request, and returns all records. */
     record_list stop();
 
+    /** Waits for the last request of a limited number, and returns all records. */
+    record_list finish();
+
 private:
     void callOn(std::size_t first);
     void keep(load_record record);
 
     const running_fleet &m_fleet;
     maker m_make;
+    std::size_t m_most;
     std::atomic<bool> m_stopped{false};
     std::atomic<std::size_t> m_next{0};
     std::atomic<std::size_t> m_served{0};
