A request is held back if the view is unconfirmed when it is to be sent

Cause: a process that was paused between a slot's grant and the send went on with the send when it resumed, whatever had been taken out or withdrawn meanwhile, and whatever its rights had become. Ruled out: checking at the grant alone; opening a connection takes up to 500 ms. Conclusion: the clock and the confirmation are read just before the first byte.

--- a/src/azurelb/request/attempt_loop.cpp
+++ b/src/azurelb/request/attempt_loop.cpp
@@ -1,4 +1,5 @@
 #include <azurelb/activity/activity_recorder.hpp>
+#include <azurelb/config/document_source.hpp>
 #include <azurelb/core/await_callback.hpp>
 #include <azurelb/core/clock_source.hpp>
 #include <azurelb/http/problem_response.hpp>
@@ -117,6 +118,8 @@
 attempt_outcome outcomeOf(const exchange_result &result)
 {
     switch (result.state) {
+    case attempt_state::withheld:
+        return attempt_outcome::cancelled;
     case attempt_state::refused:
         return attempt_outcome::refused;
     case attempt_state::answered: {
@@ -165,8 +168,7 @@
 
 attempt_end givenUp(const exchange_result &last)
 {
-    const bool notRun =
-        last.state == attempt_state::not_sent || last.state == attempt_state::refused;
+    const bool notRun = last.state != attempt_state::unknown;
     const run_state run = notRun ? run_state::not_run : run_state::unknown;
     const auto status = notRun ? http::status::service_unavailable : http::status::bad_gateway;
     constexpr std::chrono::seconds pause{1};
@@ -179,17 +181,18 @@
 
 attempt_loop::attempt_loop(asio::io_context &loop, const clock_source &clock, slot_service &slots,
                            connection_pool &connections, activity_recorder &activity,
-                           metrics &counters)
+                           const document_source &documents, metrics &counters)
     : m_loop{loop}
     , m_clock{clock}
     , m_slots{slots}
     , m_connections{connections}
     , m_activity{activity}
+    , m_documents{documents}
     , m_random{std::random_device{}()}
     , m_retriesRefused{counters.counter("azurelb_retries_refused_total",
                                         "Retries not made because the budget was spent")}
 {
-    constexpr std::string_view states[]{"not_sent", "refused", "answered", "unknown"};
+    constexpr std::string_view states[]{"not_sent", "withheld", "refused", "answered", "unknown"};
     for (std::size_t index = 0; index < std::size(states); ++index)
         m_attempts[index] = &counters.counter("azurelb_attempts_total", "Attempts by their end",
                                               {{"state", std::string{states[index]}}});
@@ -214,7 +217,8 @@
             co_return attempt_end{run_state::ran, true, std::move(ended.response)};
         if (!mayRetry(request, ended, attempts))
             co_return givenUp(ended);
-        wanted.avoid.insert(grant.upstream.vm);
+        if (ended.state != attempt_state::withheld)
+            wanted.avoid.insert(grant.upstream.vm);
     }
 }
 
@@ -237,9 +241,16 @@
                                       co_await m_connections.acquire(upstream.address, need)};
     if (!connection)
         co_return exchange_result{attempt_state::not_sent, {}, "no connection to the upstream"};
+    if (!maySend(request))
+        co_return exchange_result{attempt_state::withheld, {}, "the request was not sent in time"};
     co_return co_await connection->exchange(messageFor(request), request.deadline);
 }
 
+bool attempt_loop::maySend(const caller_request &request) const
+{
+    return m_clock.now() < request.deadline && m_documents.isConfirmed();
+}
+
 bool attempt_loop::mayRetry(const caller_request &request, const exchange_result &ended,
                             unsigned attempts)
 {
--- a/src/azurelb/request/attempt_loop.hpp
+++ b/src/azurelb/request/attempt_loop.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azurelb/activity/fwd.hpp>
+#include <azurelb/config/fwd.hpp>
 #include <azurelb/core/fwd.hpp>
 #include <azurelb/http/message.hpp>
 #include <azurelb/metrics/fwd.hpp>
@@ -30,7 +31,8 @@
 {
 public:
     attempt_loop(boost::asio::io_context &loop, const clock_source &clock, slot_service &slots,
-                 connection_pool &connections, activity_recorder &activity, metrics &counters);
+                 connection_pool &connections, activity_recorder &activity,
+                 const document_source &documents, metrics &counters);
     attempt_loop(const attempt_loop &) = delete;
     attempt_loop &operator=(const attempt_loop &) = delete;
 
@@ -41,6 +43,8 @@
     [[nodiscard]] boost::asio::awaitable<slot_grant> awaitSlot(const slot_request &wanted);
     [[nodiscard]] boost::asio::awaitable<exchange_result> attempt(const caller_request &request,
                                                                   const upstream_vm &upstream);
+    /** False if the process was paused, or waited so long that its view is no longer proved. */
+    [[nodiscard]] bool maySend(const caller_request &request) const;
     [[nodiscard]] bool mayRetry(const caller_request &request, const exchange_result &ended,
                                 unsigned attempts);
     [[nodiscard]] http_request messageFor(const caller_request &request);
@@ -51,9 +55,10 @@
     slot_service &m_slots;
     connection_pool &m_connections;
     activity_recorder &m_activity;
+    const document_source &m_documents;
     std::unordered_map<queue_name, retry_budget> m_budgets{};
     std::mt19937_64 m_random;
-    prometheus::Counter *m_attempts[4];
+    prometheus::Counter *m_attempts[5];
     prometheus::Counter &m_retriesRefused;
 };
 
--- a/src/azurelb/request/attempt_policy.cpp
+++ b/src/azurelb/request/attempt_policy.cpp
@@ -8,6 +8,7 @@
         return false;
     switch (ended) {
     case attempt_state::not_sent:
+    case attempt_state::withheld:
     case attempt_state::refused:
         return true;
     case attempt_state::unknown:
--- a/test/azurelb/request/retry_budget_test.cpp
+++ b/test/azurelb/request/retry_budget_test.cpp
@@ -44,6 +44,7 @@
             CPPUNIT_ASSERT(isRetryable(attempt_state::unknown, {true, attempts}));
             CPPUNIT_ASSERT(isRetryable(attempt_state::not_sent, {false, attempts}));
             CPPUNIT_ASSERT(isRetryable(attempt_state::refused, {false, attempts}));
+            CPPUNIT_ASSERT(isRetryable(attempt_state::withheld, {false, attempts}));
             CPPUNIT_ASSERT(!isRetryable(attempt_state::answered, {true, attempts}));
         }
         CPPUNIT_ASSERT(!isRetryable(attempt_state::not_sent, {true, mostAttempts}));
