A grant older than a second starts no request

Cause: a daemon paused between the grant of a slot and the sending of its request sent it on after SIGCONT, into an availability zone that had been taken out more than 3 s before (withdrawn_zone_test: 63 requests at the executor in place of 62). Ruled out: requests on their way to the executor; the count was read 3 s after the order. Now: a request is sent within 1 s of its grant or not at all; with a view of at most 2 s at the grant that is 3 s. Not covered: a pause between the check and the system call that sends.

--- a/src/azurelb/request/attempt_loop.cpp
+++ b/src/azurelb/request/attempt_loop.cpp
@@ -26,6 +26,13 @@
 
 constexpr std::string_view deadlineField{"Azurelb-Timeout-Ms"};
 
+/**
+ * Longest time from a grant to the sending of its request. Together with the longest age of a
+ * confirmed view at the grant it bounds how long a change of the fleet can go unnoticed, also by a
+ * process that is paused in between.
+ */
+constexpr std::chrono::milliseconds longestStart{1000};
+
 /** Ends the use of a slot when the attempt ends, also by cancellation. */
 class lease_guard
 {
@@ -171,11 +178,11 @@
     slot_request wanted{request.queue, request.team, request.deadline, {}};
     m_budgets[request.queue].deposit();
     for (unsigned attempts = 1;; ++attempts) {
-        const slot_grant grant = co_await awaitSlot(wanted);
+        const auto [grant, startBy] = co_await awaitSlot(wanted);
         if (grant.refusal != slot_refusal::none)
             co_return refusedBySlots(grant);
         lease_guard lease{m_slots, grant.lease};
-        exchange_result ended = co_await attempt(request, grant.upstream);
+        exchange_result ended = co_await attempt(request, grant.upstream, startBy);
         lease.set(outcomeOf(ended));
         count(ended.state);
         if (ended.state == attempt_state::answered)
@@ -186,11 +193,14 @@
     }
 }
 
-asio::awaitable<slot_grant> attempt_loop::awaitSlot(const slot_request &wanted)
+asio::awaitable<attempt_loop::timed_grant> attempt_loop::awaitSlot(const slot_request &wanted)
 {
     std::optional<ticket_guard> waiting;
-    const auto grant = co_await awaitCallback<slot_grant>(m_loop, [&](slot_handler done) {
-        waiting.emplace(m_slots, m_slots.request(wanted, std::move(done)));
+    const auto grant = co_await awaitCallback<timed_grant>(m_loop, [&](auto done) {
+        const auto granted = [&clock = m_clock, done](const slot_grant &given) {
+            done(timed_grant{given, clock.now() + longestStart});
+        };
+        waiting.emplace(m_slots, m_slots.request(wanted, granted));
     });
     if (!grant)
         throw boost::system::system_error{asio::error::operation_aborted};
@@ -198,13 +208,16 @@
 }
 
 asio::awaitable<exchange_result> attempt_loop::attempt(const caller_request &request,
-                                                       const upstream_vm &upstream)
+                                                       const upstream_vm &upstream,
+                                                       time_point startBy)
 {
     const auto need = request.idempotent ? connection_need::any : connection_need::proved;
     const connection_guard connection{m_connections,
                                       co_await m_connections.acquire(upstream.address, need)};
     if (!connection)
         co_return exchange_result{attempt_state::not_sent, {}, "no connection to the upstream"};
+    if (m_clock.now() > startBy)
+        co_return exchange_result{attempt_state::not_sent, {}, "the grant is too old to start on"};
     co_return co_await connection->exchange(messageFor(request), request.deadline);
 }
 
--- a/src/azurelb/request/attempt_loop.hpp
+++ b/src/azurelb/request/attempt_loop.hpp
@@ -37,9 +37,16 @@
     [[nodiscard]] boost::asio::awaitable<attempt_end> run(const caller_request &request);
 
 private:
-    [[nodiscard]] boost::asio::awaitable<slot_grant> awaitSlot(const slot_request &wanted);
-    [[nodiscard]] boost::asio::awaitable<exchange_result> attempt(const caller_request &request,
-                                                                  const upstream_vm &upstream);
+    /** A grant, and the time until which its request may be sent. */
+    struct timed_grant
+    {
+        slot_grant grant{};
+        time_point startBy{};
+    };
+
+    [[nodiscard]] boost::asio::awaitable<timed_grant> awaitSlot(const slot_request &wanted);
+    [[nodiscard]] boost::asio::awaitable<exchange_result>
+    attempt(const caller_request &request, const upstream_vm &upstream, time_point startBy);
     [[nodiscard]] bool mayRetry(const caller_request &request, const exchange_result &ended,
                                 unsigned attempts);
     [[nodiscard]] http_request messageFor(const caller_request &request);
--- /dev/null
+++ b/test/azurelb/system/withdrawn_zone_test.cpp
@@ -0,0 +1,93 @@
+#include "support/caller_load.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+
+namespace {
+
+using namespace azurelb;
+using test::caller_load;
+using test::running_fleet;
+
+constexpr std::size_t callers{12};
+constexpr std::size_t some{60};
+/** Longest time from an order to the last start against it. */
+constexpr std::chrono::seconds orderBound{3};
+
+test::fleet_options threeDaemons()
+{
+    test::fleet_options made;
+    made.daemons = 3;
+    return made;
+}
+
+caller_load::maker plansOf(const running_fleet &fleet)
+{
+    return [&fleet](std::size_t number) {
+        return fleet.callOf("plan", "plan-" + std::to_string(number));
+    };
+}
+
+/** Pauses a daemon under load, has the change made through another one, and waits its bound. */
+void changeWhilePaused(running_fleet &fleet, caller_load &load, const wire::change &wanted)
+{
+    CPPUNIT_ASSERT(load.goOn(some, 2));
+    fleet.daemon(2).signal(SIGSTOP);
+    CPPUNIT_ASSERT_EQUAL(200U, fleet.change(0, wanted).status);
+    const auto bound = std::chrono::steady_clock::now() + orderBound;
+    CPPUNIT_ASSERT(fleet.isInForce(7, {0, 1}));
+    std::this_thread::sleep_until(bound);
+}
+
+class withdrawn_zone_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(withdrawn_zone_test);
+    CPPUNIT_TEST(pausedDaemonStartsNothingInAZoneThatIsOut);
+    CPPUNIT_TEST(pausedDaemonTakesNothingForAWithdrawnKey);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void pausedDaemonStartsNothingInAZoneThatIsOut()
+    {
+        running_fleet fleet{threeDaemons()};
+        caller_load load{fleet, callers, plansOf(fleet)};
+        wire::change order;
+        order.set_zone_out("milano");
+        changeWhilePaused(fleet, load, order);
+        // Executor 0 is the one in that zone.
+        const std::uint32_t before = fleet.executors().status(0).requests();
+        fleet.daemon(2).signal(SIGCONT);
+        CPPUNIT_ASSERT(load.goOn(some, 2));
+        CPPUNIT_ASSERT(load.goOn(some, 0));
+        load.stop();
+        CPPUNIT_ASSERT_EQUAL(before, fleet.executors().status(0).requests());
+        order.set_zone_in("milano");
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.change(1, order).status);
+        CPPUNIT_ASSERT(test::eventually([&] {
+            (void)fleet.send(2, fleet.callOf("plan"));
+            return fleet.executors().status(0).requests() > before;
+        }));
+    }
+
+    void pausedDaemonTakesNothingForAWithdrawnKey()
+    {
+        running_fleet fleet{threeDaemons()};
+        caller_load load{fleet, callers, plansOf(fleet)};
+        wire::change order;
+        order.set_withdraw_key("key-0");
+        changeWhilePaused(fleet, load, order);
+        const auto before = fleet.runs();
+        fleet.daemon(2).signal(SIGCONT);
+        const auto refused = [&] {
+            return fleet.send(2, fleet.callOf("plan", "late")).status() == 401;
+        };
+        CPPUNIT_ASSERT(test::eventually(refused));
+        load.stop();
+        CPPUNIT_ASSERT_EQUAL(before.size(), fleet.runs().size());
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(withdrawn_zone_test);
