Status shows wanted sizes and reasons, wave list shows progress

Cause: the planner keeps both in the fleet document, and no command showed them. Conclusion: operators see what a pool shall become, and why.

--- a/src/azurelb/operations/make_status.cpp
+++ b/src/azurelb/operations/make_status.cpp
@@ -18,6 +18,16 @@
     return vm.state() == wire::VM_STATE_SERVING;
 }
 
+void setWanted(wire::pool_status &pool, const fleet_view &fleet)
+{
+    for (const wire::pool_size &size : fleet.document().sizes()) {
+        if (size.pool() != pool.name())
+            continue;
+        pool.set_wanted(size.wanted_vms());
+        pool.set_reason(size.reason());
+    }
+}
+
 void addPools(wire::status &status, const config_view &config, const fleet_view &fleet)
 {
     for (const wire::pool &pool : config.document().pools()) {
@@ -31,6 +41,7 @@
             added.set_serving(added.serving() + (isServing(vm) ? 1 : 0));
         }
         added.set_unavailable(added.vms() - added.serving());
+        setWanted(added, fleet);
     }
 }
 
--- a/src/azurelb_bench/scenarios.cpp
+++ b/src/azurelb_bench/scenarios.cpp
@@ -29,13 +29,20 @@
     return parts;
 }
 
+std::string wrongEndpoint(const std::string &flag, const std::string &value)
+{
+    std::string text{"--"};
+    text.append(flag).append(" has '").append(value).append("'; allowed: IP:PORT");
+    return text;
+}
+
 std::vector<endpoint> endpointsOf(const std::string &flag, const std::string &text)
 {
     std::vector<endpoint> found;
     for (const std::string &each : split(text, ',')) {
         const auto parsed = parseEndpoint(each);
         if (!parsed)
-            throw usage_error{"--" + flag + " has '" + each + "'; allowed: IP:PORT"};
+            throw usage_error{wrongEndpoint(flag, each)};
         found.push_back(*parsed);
     }
     return found;
@@ -69,7 +76,7 @@
 
 std::vector<endpoint> daemons()
 {
-    const auto all = endpointsOf("daemons", FLAGS_daemons);
+    auto all = endpointsOf("daemons", FLAGS_daemons);
     if (all.empty())
         throw usage_error{"--daemons is empty; allowed: IP:PORT,..."};
     return all;
@@ -121,6 +128,7 @@
 {
     const auto executors = endpointsOf("executors", FLAGS_executors);
     std::vector<stream_options> streams;
+    streams.reserve(executors.size());
     const double rate =
         FLAGS_rate / static_cast<double>(std::max<std::size_t>(1, executors.size()));
     for (const endpoint &each : executors)
--- a/src/azurelb_cli/read_commands.cpp
+++ b/src/azurelb_cli/read_commands.cpp
@@ -72,10 +72,12 @@
 
 void printPools(const wire::status &status)
 {
-    table rows{{"POOL", "VMS", "SERVING", "UNAVAILABLE", "BUDGET"}};
+    table rows{{"POOL", "VMS", "WANTED", "SERVING", "UNAVAILABLE", "BUDGET", "REASON"}};
     for (const wire::pool_status &each : status.pools())
-        rows.emplace({each.name(), std::to_string(each.vms()), std::to_string(each.serving()),
-                      std::to_string(each.unavailable()), std::to_string(each.budget())});
+        rows.emplace({each.name(), std::to_string(each.vms()),
+                      each.wanted() > 0 ? std::to_string(each.wanted()) : "-",
+                      std::to_string(each.serving()), std::to_string(each.unavailable()),
+                      std::to_string(each.budget()), each.reason()});
     rows.print(std::cout);
     std::cout << '\n';
 }
@@ -158,13 +160,19 @@
 
 void listWaves(const daemon_client &client, const command_words &)
 {
-    const wire::config_document config = fetchConfig(client);
-    printList(config, {"WAVE", "POOLS", "STOPPED"}, config.waves(), [](const wire::wave &each) {
-        std::string pools;
-        for (const std::string &pool : each.pools())
-            pools += (pools.empty() ? "" : ",") + pool;
-        return table::value_type{each.id(), pools, yesNo(each.stopped())};
-    });
+    wire::fleet_document fleet;
+    fetch(client, "/v1/fleet", fleet);
+    printList(fleet, {"WAVE", "DONE", "FAILED", "OF", "STARTED", "ENDED", "PAUSED"}, fleet.waves(),
+              [](const wire::wave_progress &each) {
+                  return table::value_type{each.id(),
+                                           std::to_string(each.completed()),
+                                           std::to_string(each.failed()),
+                                           std::to_string(each.total()),
+                                           timeText(each.started_ms()),
+                                           each.finished_ms() == 0 ? "-"
+                                                                   : timeText(each.finished_ms()),
+                                           each.paused().empty() ? "-" : each.paused()};
+              });
 }
 
 void listVms(const daemon_client &client, const command_words &)
