--- a/src/azurelb_bench/scenarios.cpp
+++ b/src/azurelb_bench/scenarios.cpp
@@ -29,20 +29,14 @@
     return parts;
 }
 
-std::string wrongEndpoint(const std::string &flag, const std::string &value)
-{
-    std::string text{"--"};
-    text.append(flag).append(" has '").append(value).append("'; allowed: IP:PORT");
-    return text;
-}
-
 std::vector<endpoint> endpointsOf(const std::string &flag, const std::string &text)
 {
     std::vector<endpoint> found;
     for (const std::string &each : split(text, ',')) {
         const auto parsed = parseEndpoint(each);
         if (!parsed)
-            throw usage_error{wrongEndpoint(flag, each)};
+            throw usage_error{std::string{"--"}.append(flag).append(" has '").append(each).append(
+                "'; allowed: IP:PORT")};
         found.push_back(*parsed);
     }
     return found;
@@ -128,11 +122,11 @@
 {
     const auto executors = endpointsOf("executors", FLAGS_executors);
     std::vector<stream_options> streams;
-    streams.reserve(executors.size());
     const double rate =
         FLAGS_rate / static_cast<double>(std::max<std::size_t>(1, executors.size()));
-    for (const endpoint &each : executors)
-        streams.push_back(streamTo(each, {}, "/", constantRate(rate)));
+    std::transform(
+        executors.begin(), executors.end(), std::back_inserter(streams),
+        [rate](const endpoint &each) { return streamTo(each, {}, "/", constantRate(rate)); });
     load_run run{streams, duration()};
     run.run();
     stream_result total;
