A slot and its right are held until the upstream has let go of the request

Ruled out: closing the connection and trusting that the executor stops; holding the right for a fixed time, which is too long for those that stop and too short for those that don't. Conclusion: the sending side is closed, which tells an executor that listens, and slot and right stay until it answers or closes, for 60 s at most.

--- a/src/azurelb/request/attempt_loop.hpp
+++ b/src/azurelb/request/attempt_loop.hpp
@@ -6,6 +6,7 @@
 #include <azurelb/http/message.hpp>
 #include <azurelb/metrics/fwd.hpp>
 #include <azurelb/request/attempt_end.hpp>
+#include <azurelb/request/attempt_services.hpp>
 #include <azurelb/request/caller_request.hpp>
 #include <azurelb/request/fwd.hpp>
 #include <azurelb/request/retry_budget.hpp>
@@ -30,39 +31,34 @@
 class attempt_loop
 {
 public:
-    attempt_loop(boost::asio::io_context &loop, const clock_source &clock, slot_service &slots,
-                 connection_pool &connections, activity_recorder &activity,
-                 const document_source &documents, metrics &counters);
+    attempt_loop(const attempt_services &services, metrics &counters);
     attempt_loop(const attempt_loop &) = delete;
     attempt_loop &operator=(const attempt_loop &) = delete;
 
-    /** Runs the request. If it is cancelled, its slot and its connection are freed at once. */
+    /**
+     * Runs the request. If it is cancelled while it waits for a slot, it waits no more; if it runs
+     * already, the upstream is told, and the slot is free when the upstream has let go of it.
+     */
     [[nodiscard]] boost::asio::awaitable<attempt_end> run(const caller_request &request);
 
 private:
-    /** A grant, and the time until which its request may be sent. */
+    /** A grant, the wait for it, and the time until which its request may be sent. */
     struct timed_grant
     {
         slot_grant grant{};
+        duration waited{};
         time_point startBy{};
     };
 
     [[nodiscard]] boost::asio::awaitable<timed_grant> awaitSlot(const slot_request &wanted);
-    [[nodiscard]] boost::asio::awaitable<exchange_result>
-    attempt(const caller_request &request, const upstream_vm &upstream, time_point startBy);
-    /** False if the process was paused, or waited so long that its view is no longer proved. */
-    [[nodiscard]] bool maySend(const caller_request &request, time_point startBy) const;
+    [[nodiscard]] boost::asio::awaitable<exchange_result> attempt(const caller_request &request,
+                                                                  const timed_grant &granted);
     [[nodiscard]] bool mayRetry(const caller_request &request, const exchange_result &ended,
                                 unsigned attempts);
-    [[nodiscard]] http_request messageFor(const caller_request &request);
+    [[nodiscard]] std::string nextAttemptId();
     void count(attempt_state state);
 
-    boost::asio::io_context &m_loop;
-    const clock_source &m_clock;
-    slot_service &m_slots;
-    connection_pool &m_connections;
-    activity_recorder &m_activity;
-    const document_source &m_documents;
+    attempt_services m_services;
     std::unordered_map<queue_name, retry_budget> m_budgets{};
     std::mt19937_64 m_random;
     prometheus::Counter *m_attempts[5];
--- a/src/azurelb/request/caller_api.cpp
+++ b/src/azurelb/request/caller_api.cpp
@@ -61,8 +61,9 @@
     auto &counters = services.find<metrics>(metrics::serviceName);
     m_documents = &services.find<document_source>(document_source::serviceName);
     m_connections = std::make_unique<connection_pool>(m_loop, m_clock, m_connectionOptions);
-    m_attempts = std::make_unique<attempt_loop>(m_loop, m_clock, slots, *m_connections,
-                                                activity.recorder(), *m_documents, counters);
+    const attempt_services used{m_loop,      m_clock, slots, *m_connections, activity.recorder(),
+                                *m_documents};
+    m_attempts = std::make_unique<attempt_loop>(used, counters);
     m_claims = std::make_unique<claim_registry>(m_loop, m_clock, platform);
     m_server = std::make_unique<http_server>(
         m_loop, m_options.listen, m_options.limits,
--- a/src/azurelb/request/fwd.hpp
+++ b/src/azurelb/request/fwd.hpp
@@ -4,6 +4,7 @@
 
 struct attempt_end;
 struct attempt_policy;
+struct attempt_services;
 struct caller_options;
 struct caller_request;
 struct checked_request;
@@ -13,5 +14,7 @@
 class caller_api;
 class claim_registry;
 class retry_budget;
+class running_attempt;
+class slot_use;
 
 } // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/running_attempt.cpp
@@ -0,0 +1,149 @@
+#include <azurelb/config/document_source.hpp>
+#include <azurelb/core/clock_source.hpp>
+#include <azurelb/request/running_attempt.hpp>
+#include <azurelb/upstream/attempt_outcome.hpp>
+#include <azurelb/upstream/connection_need.hpp>
+#include <azurelb/upstream/connection_pool.hpp>
+#include <azurelb/upstream/upstream_connection.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::string_view deadlineField{"Azurelb-Timeout-Ms"};
+constexpr std::string_view requestIdField{"X-Request-Id"};
+
+/** Gives a connection back when the attempt ends, also by cancellation. */
+class connection_guard
+{
+public:
+    connection_guard(connection_pool &pool, upstream_connection_ptr connection) noexcept
+        : m_pool{pool}
+        , m_connection{std::move(connection)}
+    { }
+    connection_guard(const connection_guard &) = delete;
+    connection_guard &operator=(const connection_guard &) = delete;
+    ~connection_guard()
+    {
+        if (m_connection)
+            m_pool.release(std::move(m_connection));
+    }
+
+    [[nodiscard]] upstream_connection *get() const noexcept { return m_connection.get(); }
+
+private:
+    connection_pool &m_pool;
+    upstream_connection_ptr m_connection;
+};
+
+bool isServerFault(const http_response &response)
+{
+    return http::to_status_class(response.result()) == http::status_class::server_error;
+}
+
+} // namespace
+
+running_attempt::running_attempt(const attempt_services &services, const caller_request &request,
+                                 const slot_grant &grant, duration waited, time_point startBy)
+    : m_services{services}
+    , m_message{request.message}
+    , m_deadline{request.deadline}
+    , m_startBy{startBy}
+    , m_idempotent{request.idempotent}
+    , m_slot{std::in_place, services, request.queue, grant, waited}
+    , m_ended{services.loop, request.deadline}
+{ }
+
+asio::awaitable<void> running_attempt::execute(std::string attemptId)
+{
+    const auto self = shared_from_this();
+    exchange_result result = co_await attempt(attemptId);
+    m_slot->set(outcomeOf(result));
+    m_slot.reset();
+    m_result = std::move(result);
+    m_ended.cancel();
+}
+
+asio::awaitable<exchange_result> running_attempt::wait()
+{
+    boost::system::error_code ended;
+    if (!m_result)
+        co_await m_ended.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+    if (m_result)
+        co_return std::move(*m_result);
+    if (ended)
+        throw boost::system::system_error{ended};
+    const auto state = m_sent ? attempt_state::unknown : attempt_state::withheld;
+    co_return exchange_result{state, {}, "no answer before the deadline"};
+}
+
+void running_attempt::abandon() noexcept
+{
+    m_abandoned = true;
+    if (m_connection)
+        m_connection->abandon();
+}
+
+asio::awaitable<exchange_result> running_attempt::attempt(const std::string &attemptId)
+{
+    const auto need = m_idempotent ? connection_need::any : connection_need::proved;
+    const connection_guard connection{
+        m_services.connections,
+        co_await m_services.connections.acquire(m_slot->upstream().address, need)};
+    if (!connection.get())
+        co_return exchange_result{attempt_state::not_sent, {}, "no connection to the upstream"};
+    if (!maySend())
+        co_return exchange_result{attempt_state::withheld, {}, "the request was not sent in time"};
+    m_sent = true;
+    m_connection = connection.get();
+    addFields(attemptId);
+    const time_point bound = std::max(m_deadline, m_services.clock.now() + longestRun);
+    exchange_result result = co_await m_connection->exchange(m_message, bound);
+    m_connection = nullptr;
+    co_return result;
+}
+
+bool running_attempt::maySend() const
+{
+    const time_point now = m_services.clock.now();
+    return !m_abandoned && now < m_deadline && now <= m_startBy
+        && m_services.documents.isConfirmed();
+}
+
+attempt_outcome running_attempt::outcomeOf(const exchange_result &result) const
+{
+    switch (result.state) {
+    case attempt_state::withheld:
+        return attempt_outcome::cancelled;
+    case attempt_state::refused:
+        return attempt_outcome::refused;
+    case attempt_state::answered:
+        return isServerFault(result.response) ? attempt_outcome::failed : attempt_outcome::answered;
+    case attempt_state::unknown:
+        // An upstream that closes after the request was given up does what it was asked to.
+        return m_abandoned && result.closedByUpstream ? attempt_outcome::cancelled
+                                                      : attempt_outcome::failed;
+    case attempt_state::not_sent:
+        return attempt_outcome::failed;
+    }
+    return attempt_outcome::failed;
+}
+
+void running_attempt::addFields(const std::string &attemptId)
+{
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - m_services.clock.now());
+    // Its own id for each attempt, so that an answer to another one is recognised.
+    m_message.set(requestIdField, attemptId);
+    m_message.set(deadlineField, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/request/slot_use.cpp
@@ -0,0 +1,27 @@
+#include <azurelb/activity/activity_recorder.hpp>
+#include <azurelb/core/clock_source.hpp>
+#include <azurelb/request/slot_use.hpp>
+#include <azurelb/share/slot_service.hpp>
+#include <azurelb/upstream/attempt_outcome.hpp>
+
+namespace azurelb {
+
+slot_use::slot_use(const attempt_services &services, queue_name queue, const slot_grant &grant,
+                   duration waited)
+    : m_services{services}
+    , m_queue{std::move(queue)}
+    , m_grant{grant}
+    , m_started{services.clock.now()}
+    , m_outcome{attempt_outcome::cancelled}
+{
+    m_services.activity.start(m_queue, m_grant.upstream.vm, waited);
+}
+
+slot_use::~slot_use()
+{
+    const duration ran = m_services.clock.now() - m_started;
+    m_services.activity.end(m_queue, m_grant.upstream.vm, ran);
+    m_services.slots.release(m_grant.lease, m_outcome);
+}
+
+} // namespace azurelb
--- a/src/azurelb/upstream/exchange_result.hpp
+++ b/src/azurelb/upstream/exchange_result.hpp
@@ -14,6 +14,8 @@
     http_response response{};
     /** What went wrong, in words for the caller; empty if nothing did. */
     std::string detail{};
+    /** The upstream closed or reset the connection before it had answered. */
+    bool closedByUpstream{false};
 };
 
 } // namespace azurelb
--- a/src/azurelb/upstream/upstream_connection.cpp
+++ b/src/azurelb/upstream/upstream_connection.cpp
@@ -25,6 +25,12 @@
 constexpr std::string_view requestIdField{"X-Request-Id"};
 constexpr std::string_view runField{"Azurelb-Run"};
 
+bool isClosedByPeer(const boost::system::error_code &failure)
+{
+    return failure == http::error::end_of_stream || failure == http::error::partial_message
+        || failure == asio::error::connection_reset || failure == asio::error::broken_pipe;
+}
+
 bool isRefusal(const http_response &response)
 {
     const bool refusingStatus = response.result() == http::status::service_unavailable
@@ -81,8 +87,10 @@
     co_await http::async_read(m_stream, m_buffer, parser,
                               asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
-        co_return exchange_result{
-            attempt_state::unknown, {}, "no whole answer from the upstream: " + failure.message()};
+        co_return exchange_result{attempt_state::unknown,
+                                  {},
+                                  "no whole answer from the upstream: " + failure.message(),
+                                  isClosedByPeer(failure)};
     m_sound = parser.get().keep_alive();
     co_return judge(request, parser.release());
 }
@@ -102,9 +110,17 @@
     return {state, std::move(response), {}};
 }
 
+void upstream_connection::abandon() noexcept
+{
+    boost::system::error_code ignored;
+    m_abandoned = true;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 bool upstream_connection::isReusable()
 {
-    return m_sound && m_stream.socket().is_open() && isIdleConnectionAlive(m_stream.socket());
+    return m_sound && !m_abandoned && m_stream.socket().is_open()
+        && isIdleConnectionAlive(m_stream.socket());
 }
 
 void upstream_connection::setOptions()
--- a/src/azurelb/upstream/upstream_connection.hpp
+++ b/src/azurelb/upstream/upstream_connection.hpp
@@ -39,6 +39,12 @@
     [[nodiscard]] boost::asio::awaitable<exchange_result> exchange(const http_request &request,
                                                                    time_point deadline);
 
+    /**
+     * Closes the sending side while an exchange goes on, which may still end by an answer. The
+     * connection is not reusable afterwards.
+     */
+    void abandon() noexcept;
+
     /** True if the connection is open, nothing is wrong with it and nothing unasked was received.
      */
     [[nodiscard]] bool isReusable();
@@ -58,6 +64,7 @@
     boost::beast::flat_buffer m_buffer{};
     time_point m_provedAt{};
     bool m_sound{false};
+    bool m_abandoned{false};
 };
 
 } // namespace azurelb
