--- a/src/azurelb/config/config_view.cpp
+++ b/src/azurelb/config/config_view.cpp
@@ -67,6 +67,14 @@
     return match ? findTeam(team_name{match->team()}) : nullptr;
 }
 
+bool config_view::hasKey(std::string_view digest) const noexcept
+{
+    const auto same = [digest](const wire::team_key &each) {
+        return each.digest() == digest;
+    };
+    return std::any_of(m_document.keys().begin(), m_document.keys().end(), same);
+}
+
 bool config_view::isOut(const zone_name &zone) const noexcept
 {
     const auto &zones = m_document.zones();
--- a/src/azurelb/config/config_view.hpp
+++ b/src/azurelb/config/config_view.hpp
@@ -39,6 +39,9 @@
      */
     [[nodiscard]] const wire::team *authenticate(std::string_view secret) const;
 
+    /** True if a key with that digest, as secretDigest() gives it, is in force. */
+    [[nodiscard]] bool hasKey(std::string_view digest) const noexcept;
+
     /** True if operators have taken the zone out. */
     [[nodiscard]] bool isOut(const zone_name &zone) const noexcept;
 
--- a/src/azurelb/request/caller_request.hpp
+++ b/src/azurelb/request/caller_request.hpp
@@ -13,6 +13,8 @@
     queue_name queue{};
     /** Empty on a queue open to all. */
     team_name team{};
+    /** Digest of the key that came with it; empty on a queue open to all. */
+    std::string keyDigest{};
     time_point deadline{};
     /** Running it twice has the effect of running it once. */
     bool idempotent{false};
--- a/src/azurelb/request/request_check.cpp
+++ b/src/azurelb/request/request_check.cpp
@@ -1,4 +1,5 @@
 #include <azurelb/config/config_view.hpp>
+#include <azurelb/config/secret_digest.hpp>
 #include <azurelb/request/request_check.hpp>
 
 #include <algorithm>
@@ -131,6 +132,7 @@
     checked_request checked;
     checked.request.queue = queue_name{queue->name()};
     checked.request.team = team ? team_name{team->name()} : team_name{};
+    checked.request.keyDigest = team ? secretDigest(secretOf(message)) : std::string{};
     checked.request.deadline = now + *timeout;
     checked.request.idempotent = queue->idempotent() || isIdempotentMethod(message.method());
     checked.request.idempotencyKey = std::string{key};
--- a/src/azurelb/request/running_attempt.cpp
+++ b/src/azurelb/request/running_attempt.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/config/config_view.hpp>
 #include <azurelb/config/document_source.hpp>
 #include <azurelb/core/clock_source.hpp>
 #include <azurelb/request/running_attempt.hpp>
@@ -55,6 +56,7 @@
                                  const slot_grant &grant, duration waited, time_point startBy)
     : m_services{services}
     , m_message{request.message}
+    , m_keyDigest{request.keyDigest}
     , m_deadline{request.deadline}
     , m_startBy{startBy}
     , m_idempotent{request.idempotent}
@@ -115,7 +117,12 @@
 {
     const time_point now = m_services.clock.now();
     return !m_abandoned && now < m_deadline && now <= m_startBy
-        && m_services.documents.isConfirmed();
+        && m_services.documents.isConfirmed() && isKeyInForce();
+}
+
+bool running_attempt::isKeyInForce() const
+{
+    return m_keyDigest.empty() || m_services.documents.config()->hasKey(m_keyDigest);
 }
 
 attempt_outcome running_attempt::outcomeOf(const exchange_result &result) const
--- a/src/azurelb/request/running_attempt.hpp
+++ b/src/azurelb/request/running_attempt.hpp
@@ -45,11 +45,14 @@
 private:
     [[nodiscard]] boost::asio::awaitable<exchange_result> attempt(const std::string &attemptId);
     [[nodiscard]] bool maySend() const;
+    /** False if the key was withdrawn while the request waited. */
+    [[nodiscard]] bool isKeyInForce() const;
     [[nodiscard]] attempt_outcome outcomeOf(const exchange_result &result) const;
     void addFields(const std::string &attemptId);
 
     const attempt_services &m_services;
     http_request m_message;
+    std::string m_keyDigest;
     time_point m_deadline;
     time_point m_startBy;
     bool m_idempotent;
--- a/test/azurelb/system/withdrawn_zone_test.cpp
+++ b/test/azurelb/system/withdrawn_zone_test.cpp
@@ -54,6 +54,8 @@
         caller_load load{fleet, callers, plansOf(fleet)};
         wire::change order;
         order.set_zone_out("milano");
+        // The pool has no budget for the loss of a zone.
+        order.set_force(true);
         changeWhilePaused(fleet, load, order);
         // Executor 0 is the one in that zone.
         const std::uint32_t before = fleet.executors().status(0).requests();
