A new limit is minted at once; a restarted daemon serves while the store is down

Cause: the coordinator of rights read the store once a second, so that a store that went down within that second left a new team without any right; and the rights of a restarted daemon waited 30 s for its predecessor to count as replaced, while the store was down. Ruled out: the dispatcher and the confirmation; both gave slots and were confirmed.

--- a/src/azurelb/limits/ledger_limit_service.cpp
+++ b/src/azurelb/limits/ledger_limit_service.cpp
@@ -171,7 +171,12 @@
 
 void ledger_limit_service::updateDocuments()
 {
-    m_ledger->setLimits(limitsOf(*m_documents->config()));
+    const config_view_ptr config = m_documents->config();
+    // A new limit is minted at once, not at the next regular read.
+    if (config->at() != m_configAt)
+        m_readAt = time_point{};
+    m_configAt = config->at();
+    m_ledger->setLimits(limitsOf(*config));
     m_ledger->setConfirmed(m_documents->isConfirmed());
 }
 
--- a/src/azurelb/limits/ledger_limit_service.hpp
+++ b/src/azurelb/limits/ledger_limit_service.hpp
@@ -86,6 +86,7 @@
     time_point m_readAt{};
     time_point m_publishedAt{};
     std::optional<time_point> m_closingSince{};
+    revision m_configAt{};
     bool m_storeBusy{false};
     bool m_storeFailed{false};
     bool m_closedLogged{false};
--- a/src/azurelbd/daemon_process.cpp
+++ b/src/azurelbd/daemon_process.cpp
@@ -31,6 +31,9 @@
 
 namespace {
 
+/** A daemon that is silent for so long, while another has its VM's name, was replaced. */
+constexpr std::chrono::seconds replacedAfter{10};
+
 etcd_options storeOptions(const settings &from)
 {
     etcd_options options;
@@ -55,6 +58,14 @@
     return options;
 }
 
+rights_options rightsOptions(const settings &from)
+{
+    rights_options options;
+    options.hold = from.callers.longestTimeout;
+    options.succession = replacedAfter;
+    return options;
+}
+
 share_options shareOptions(const settings &from)
 {
     share_options options;
@@ -108,7 +119,8 @@
     m_services.emplace<replicated_documents>(m_loop, m_clock, replicaOptions(m_settings));
     m_services.emplace<view_upstream_directory>();
     const auto &departures = m_services.emplace<departure_tracker>(m_loop, m_clock, m_settings.vm);
-    m_services.emplace<ledger_limit_service>(m_loop, m_clock, departures.departures());
+    m_services.emplace<ledger_limit_service>(m_loop, m_clock, departures.departures(),
+                                             rightsOptions(m_settings));
 }
 
 void daemon_process::addRequestServices()
