A daemon that ends with work under way ends cleanly

Cause: coroutines that still held slots and connections were destroyed with the event loop, after the services that they use: exit by signal 11. Ruled out: ending the process without destructors, which would hide the next such fault. First seen to fail: endsCleanlyWhileGivenUpWorkRuns with the unwinding off (-11). Conclusion: connections are closed and the loop runs out while the services stand.

--- a/src/azurelb/request/caller_api.cpp
+++ b/src/azurelb/request/caller_api.cpp
@@ -77,6 +77,8 @@
     m_housekeeping.cancel();
     if (m_server)
         m_server->close();
+    if (m_connections)
+        m_connections->close();
 }
 
 void caller_api::setReady(bool ready) noexcept
--- a/src/azurelb/upstream/connection_pool.cpp
+++ b/src/azurelb/upstream/connection_pool.cpp
@@ -49,6 +49,7 @@
     upstream_entry &entry = m_upstreams[address];
     if (value_type found = takeIdle(entry, need)) {
         ++entry.inUse;
+        m_inUse.insert(found.get());
         co_return found;
     }
     if (entry.inUse >= m_options.perUpstream)
@@ -57,8 +58,10 @@
         entry.idle.pop_front();
     use_guard counted{entry.inUse};
     value_type opened = co_await open(std::move(address));
-    if (opened)
+    if (opened) {
         counted.dismiss();
+        m_inUse.insert(opened.get());
+    }
     co_return opened;
 }
 
@@ -66,10 +69,19 @@
 {
     upstream_entry &entry = m_upstreams[connection->address()];
     --entry.inUse;
+    m_inUse.erase(connection.get());
     if (connection->isReusable())
         entry.idle.push_back(std::move(connection));
 }
 
+void connection_pool::close() noexcept
+{
+    for (upstream_connection *each : m_inUse)
+        each->close();
+    for (auto &[address, entry] : m_upstreams)
+        entry.idle.clear();
+}
+
 void connection_pool::expire()
 {
     const time_point oldest = m_clock.now() - m_options.idleAge;
--- a/src/azurelb/upstream/connection_pool.hpp
+++ b/src/azurelb/upstream/connection_pool.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace azurelb {
 
@@ -37,6 +38,9 @@
     /** Takes a connection back; it is kept if it can be used again. */
     void release(value_type connection) noexcept;
 
+    /** Closes all connections; the exchanges under way end without an answer. */
+    void close() noexcept;
+
     /** Closes idle connections that are too old. Call now and then. */
     void expire();
 
@@ -58,6 +62,7 @@
     const clock_source &m_clock;
     connection_options m_options;
     std::unordered_map<std::string, upstream_entry> m_upstreams{};
+    std::unordered_set<upstream_connection *> m_inUse{};
 };
 
 } // namespace azurelb
--- a/src/azurelb/upstream/upstream_connection.cpp
+++ b/src/azurelb/upstream/upstream_connection.cpp
@@ -117,6 +117,12 @@
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+void upstream_connection::close() noexcept
+{
+    m_sound = false;
+    m_stream.close();
+}
+
 bool upstream_connection::isReusable()
 {
     return m_sound && !m_abandoned && m_stream.socket().is_open()
--- a/src/azurelb/upstream/upstream_connection.hpp
+++ b/src/azurelb/upstream/upstream_connection.hpp
@@ -45,6 +45,9 @@
      */
     void abandon() noexcept;
 
+    /** Closes the connection; an exchange under way ends without an answer. */
+    void close() noexcept;
+
     /** True if the connection is open, nothing is wrong with it and nothing unasked was received.
      */
     [[nodiscard]] bool isReusable();
--- a/src/azurelbd/daemon_process.cpp
+++ b/src/azurelbd/daemon_process.cpp
@@ -98,6 +98,15 @@
     m_services.find<caller_api>(caller_api::serviceName).setReady(true);
     m_loop.run();
     m_services.stop();
+    unwind();
+}
+
+// Coroutines still under way hold slots and connections of the services, so they end first.
+void daemon_process::unwind()
+{
+    constexpr std::chrono::seconds longest{1};
+    m_loop.restart();
+    m_loop.run_for(longest);
 }
 
 void daemon_process::addPlatformServices()
--- a/test/azurelb/system/shutdown_test.cpp
+++ b/test/azurelb/system/shutdown_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST_SUITE(shutdown_test);
     CPPUNIT_TEST(requestsInFlightGetTheirAnswers);
     CPPUNIT_TEST(rollingRestartLosesNothing);
+    CPPUNIT_TEST(endsCleanlyWhileGivenUpWorkRuns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +71,18 @@
         CPPUNIT_ASSERT(load.goOn(some));
         assertNothingLost(fleet, load.stop());
     }
+
+    void endsCleanlyWhileGivenUpWorkRuns()
+    {
+        running_fleet fleet;
+        test::call made = fleet.callOf("order", "order-0");
+        made.run = std::chrono::seconds{10};
+        made.timeout = std::chrono::milliseconds{200};
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, fleet.send(0, made).run());
+        CPPUNIT_ASSERT_EQUAL(1U, fleet.running());
+        fleet.daemon(0).signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(0, fleet.daemon(0).waitForExit());
+    }
 };
 
 } // namespace
