Requests that cannot end before their deadline start no more

Ruled out: refusing by the mean run at arrival, which would refuse short requests of a team whose usual runs are long. Conclusion: a waiting request is refused late once less than half a usual run is left, or half of its own time if that is shorter.

--- a/src/azurelb/share/fair_queue.cpp
+++ b/src/azurelb/share/fair_queue.cpp
@@ -63,7 +63,7 @@
         const double behind = m_virtualTime - startTag(team, now);
         team.virtualTime += std::max(behind, 0.0);
     }
-    team.waiting.push_back({id, wanted.deadline, wanted.avoid});
+    team.waiting.push_back({id, wanted.deadline, now, wanted.avoid});
     m_index.emplace(id, position{&team, std::prev(team.waiting.end())});
     balanceRights(team);
     return true;
@@ -191,7 +191,8 @@
     std::vector<ticket_id> late;
     for (auto &[name, team] : m_teams) {
         for (const ticket &each : team->waiting) {
-            if (each.deadline <= now)
+            const duration needed = std::min(team->meanRun, each.deadline - each.since) / 2;
+            if (each.deadline <= now + needed)
                 late.push_back(each.id);
         }
     }
--- a/src/azurelb/share/fair_queue.hpp
+++ b/src/azurelb/share/fair_queue.hpp
@@ -24,6 +24,8 @@
     {
         ticket_id id{};
         time_point deadline{};
+        /** When the request came to wait. */
+        time_point since{};
         std::set<vm_id> avoid{};
     };
 
@@ -97,7 +99,10 @@
     /** Sets the weights; a team that is missing gets a small one. */
     void setWeights(std::span<const team_weight> weights);
 
-    /** Removes the requests whose deadline has come. */
+    /**
+     * Removes the requests that cannot end before their deadline: less is left than half a usual
+     * run of their team. A request with little time from the start may use up half of that.
+     */
     [[nodiscard]] std::vector<ticket_id> expire(time_point now);
 
     /** Removes all requests. */
