An idempotent request leaves a silent upstream in time

Cause: an idempotent request on a connection that had gone silent waited until its deadline, though other upstreams could have answered it. Ruled out: a fixed time; a queue whose runs are long would be tried twice for nothing. First seen to fail: plansOnASilentExecutorAreAnsweredByAnother with patience beyond the deadline (502 in place of 200). Conclusion: after eight usual runs, at least 3 s or half of the time left, another upstream is tried, within the retry budget.

--- a/src/azurelb/activity/activity_recorder.cpp
+++ b/src/azurelb/activity/activity_recorder.cpp
@@ -46,6 +46,14 @@
     return found == m_running.end() ? 0 : found->second;
 }
 
+duration activity_recorder::meanRun(const queue_name &queue) const noexcept
+{
+    const auto found = m_queues.find(queue);
+    if (found == m_queues.end() || found->second.ended == 0)
+        return {};
+    return found->second.ran / static_cast<std::int64_t>(found->second.ended);
+}
+
 void activity_recorder::write(wire::activity_report &report) const
 {
     for (const auto &[vm, running] : m_running) {
--- a/src/azurelb/activity/activity_recorder.hpp
+++ b/src/azurelb/activity/activity_recorder.hpp
@@ -28,6 +28,9 @@
     /** Requests running on the VM from here. */
     [[nodiscard]] std::uint32_t running(const vm_id &vm) const noexcept;
 
+    /** Mean time that a slot was held for the queue; 0 if none has ended yet. */
+    [[nodiscard]] duration meanRun(const queue_name &queue) const noexcept;
+
     /** Writes the whole state into an empty report. */
     void write(wire::activity_report &report) const;
 
--- a/src/azurelb/request/attempt_policy.cpp
+++ b/src/azurelb/request/attempt_policy.cpp
@@ -1,5 +1,7 @@
 #include <azurelb/request/attempt_policy.hpp>
 
+#include <algorithm>
+
 namespace azurelb {
 
 bool isRetryable(attempt_state ended, const attempt_policy &policy) noexcept
@@ -19,6 +21,13 @@
     return false;
 }
 
+duration patienceFor(duration meanRun, duration left) noexcept
+{
+    constexpr duration enough{std::chrono::seconds{3}};
+    constexpr int usualRuns = 8;
+    return std::max(std::min(enough, left / 2), usualRuns * meanRun);
+}
+
 bool needsBudget(attempt_state ended) noexcept
 {
     return ended == attempt_state::unknown || ended == attempt_state::refused;
--- a/src/azurelb/request/attempt_policy.hpp
+++ b/src/azurelb/request/attempt_policy.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <azurelb/core/fwd.hpp>
 #include <azurelb/request/fwd.hpp>
 #include <azurelb/upstream/attempt_state.hpp>
 
@@ -22,6 +23,13 @@
  */
 [[nodiscard]] bool isRetryable(attempt_state ended, const attempt_policy &policy) noexcept;
 
+/**
+ * How long the answer to an idempotent request is awaited before another upstream is tried: long
+ * enough that an upstream that is merely slow is rarely given up, and, where usual runs allow it,
+ * so short that the time left is enough for another attempt.
+ */
+[[nodiscard]] duration patienceFor(duration meanRun, duration left) noexcept;
+
 /** True if the retry puts load on the upstreams and is to be paid from the budget. */
 [[nodiscard]] bool needsBudget(attempt_state ended) noexcept;
 
--- a/src/azurelb/request/running_attempt.cpp
+++ b/src/azurelb/request/running_attempt.cpp
@@ -1,6 +1,8 @@
+#include <azurelb/activity/activity_recorder.hpp>
 #include <azurelb/config/config_view.hpp>
 #include <azurelb/config/document_source.hpp>
 #include <azurelb/core/clock_source.hpp>
+#include <azurelb/request/attempt_policy.hpp>
 #include <azurelb/request/running_attempt.hpp>
 #include <azurelb/upstream/attempt_outcome.hpp>
 #include <azurelb/upstream/connection_need.hpp>
@@ -45,6 +47,16 @@
     upstream_connection_ptr m_connection;
 };
 
+/** Until when the answer is awaited; at the deadline at the latest. */
+time_point answerBy(const attempt_services &services, const caller_request &request)
+{
+    if (!request.idempotent)
+        return request.deadline;
+    const time_point now = services.clock.now();
+    const duration meanRun = services.activity.meanRun(request.queue);
+    return std::min(request.deadline, now + patienceFor(meanRun, request.deadline - now));
+}
+
 bool isServerFault(const http_response &response)
 {
     return http::to_status_class(response.result()) == http::status_class::server_error;
@@ -61,7 +73,7 @@
     , m_startBy{startBy}
     , m_idempotent{request.idempotent}
     , m_slot{std::in_place, services, request.queue, grant, waited}
-    , m_ended{services.loop, request.deadline}
+    , m_ended{services.loop, answerBy(services, request)}
 { }
 
 asio::awaitable<void> running_attempt::execute(std::string attemptId)
@@ -84,7 +96,7 @@
     if (ended)
         throw boost::system::system_error{ended};
     const auto state = m_sent ? attempt_state::unknown : attempt_state::withheld;
-    co_return exchange_result{state, {}, "no answer before the deadline"};
+    co_return exchange_result{state, {}, "no answer in time"};
 }
 
 void running_attempt::abandon() noexcept
--- a/src/azurelb/request/running_attempt.hpp
+++ b/src/azurelb/request/running_attempt.hpp
@@ -34,8 +34,8 @@
     [[nodiscard]] boost::asio::awaitable<void> execute(std::string attemptId);
 
     /**
-     * The end of the attempt, or, at the deadline of the request, what is known by then. If it is
-     * cancelled it ends by operation_aborted.
+     * The end of the attempt, or what is known at the deadline of the request, for an idempotent
+     * one when patience ends. If it is cancelled it ends by operation_aborted.
      */
     [[nodiscard]] boost::asio::awaitable<exchange_result> wait();
 
--- a/test/azurelb/system/attempts_test.cpp
+++ b/test/azurelb/system/attempts_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(retriesKeepToTheirBudget);
     CPPUNIT_TEST(failingExecutorLosesItsTrafficAndGetsItBack);
     CPPUNIT_TEST(silentConnectionsAreReplaced);
+    CPPUNIT_TEST(plansOnASilentExecutorAreAnsweredByAnother);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +202,19 @@
         awaitService(fleet);
     }
 
+    /** The executor takes the requests and never answers; its connections stay open. */
+    void plansOnASilentExecutorAreAnsweredByAnother()
+    {
+        running_fleet fleet;
+        fault silent;
+        silent.set_silent(true);
+        fleet.executors().setFault(silent, 0);
+        caller_load load{fleet, callers, requestsOf(fleet, "plan", "plan"), callers};
+        for (const load_record &record : load.finish())
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(record.answer.response.body(), 200U,
+                                         record.answer.status());
+    }
+
 private:
     using client_list = std::vector<std::unique_ptr<test::caller_client>>;
 
