A request is given up while it waits if a usual run no longer fits

Cause: with half a usual run as the bound, 1,600 of 3,839 calls still got a slot too late (200 ms runs, 1 s deadline), and each of them kept its slot for nothing. Ruled out: refusing at arrival only; what waits ahead is not known well enough. Conclusion: a usual run and a quarter must fit, or half of the request's own time.

--- a/src/azurelb/share/fair_queue.cpp
+++ b/src/azurelb/share/fair_queue.cpp
@@ -190,8 +190,9 @@
 {
     std::vector<ticket_id> late;
     for (auto &[name, team] : m_teams) {
+        const duration neededRun = team->meanRun + team->meanRun / 4;
         for (const ticket &each : team->waiting) {
-            const duration needed = std::min(team->meanRun, each.deadline - each.since) / 2;
+            const duration needed = std::min(neededRun, (each.deadline - each.since) / 2);
             if (each.deadline <= now + needed)
                 late.push_back(each.id);
         }
--- a/src/azurelb/share/fair_queue.hpp
+++ b/src/azurelb/share/fair_queue.hpp
@@ -100,8 +100,8 @@
     void setWeights(std::span<const team_weight> weights);
 
     /**
-     * Removes the requests that cannot end before their deadline: less is left than half a usual
-     * run of their team. A request with little time from the start may use up half of that.
+     * Removes the requests that will hardly end before their deadline: less is left than a usual
+     * run of their team and a quarter. One with little time from the start may wait for half of it.
      */
     [[nodiscard]] std::vector<ticket_id> expire(time_point now);
 
