--- a/src/azurelb_cli/read_commands.cpp
+++ b/src/azurelb_cli/read_commands.cpp
@@ -196,15 +196,15 @@
 {
     wire::audit_list audit;
     fetch(client, "/v1/audit?most=" + std::to_string(FLAGS_most), audit);
-    printList(audit, {"WHEN", "WHO", "VERB", "ENTITY", "FROM", "TO", "REASON"}, audit.records(),
+    printList(audit, {"WHEN", "WHO", "VERB", "ENTITY", "REASON", "FROM", "TO"}, audit.records(),
               [](const wire::audit_record &each) {
                   return table::value_type{timeText(each.committed_at_ms()),
                                            each.operator_name(),
                                            each.verb(),
                                            each.entity(),
+                                           each.reason().empty() ? "-" : each.reason(),
                                            each.before().empty() ? "-" : each.before(),
-                                           each.after().empty() ? "-" : each.after(),
-                                           each.reason()};
+                                           each.after().empty() ? "-" : each.after()};
               });
 }
 
