Slots' messages beat every 400 ms while nothing changes

Cause: an idle daemon among nine sent 22,258 bytes a second at today's size, over the 15 KB that a node may spend; each 100 ms message names every slot. Ruled out: messages with changes only, which need digests and a way to repair. Conclusion: urgent and routine changes go out as before; only the beat is slower.

--- a/src/azurelb/share/share_options.hpp
+++ b/src/azurelb/share/share_options.hpp
@@ -21,7 +21,7 @@
     /** Shortest time between two messages about other changes. */
     std::chrono::milliseconds routine{10};
     /** Longest time between two messages. */
-    std::chrono::milliseconds heartbeat{100};
+    std::chrono::milliseconds heartbeat{400};
     /** A message that is not acknowledged by then is sent anew. */
     std::chrono::milliseconds retransmission{20};
     /** A daemon starts nothing on its slots for longer than this after the last report that the
