--- a/test/azurelb/fleet/planner_test.cpp
+++ b/test/azurelb/fleet/planner_test.cpp
@@ -85,6 +85,7 @@
         }
         m_lag = seconds{50};
         run(seconds{1});
+        CPPUNIT_ASSERT(findVm(m_world.fleet, maintained)->state() == wire::VM_STATE_SERVING);
         CPPUNIT_ASSERT_EQUAL(std::string{"probed"}, findVm(m_world.fleet, maintained)->reason());
     }
 
