--- /dev/null
+++ b/src/azurelb/control/owner.cpp
@@ -0,0 +1,487 @@
+#include <azurelb/control/executor_roster.hpp>
+#include <azurelb/control/owner.hpp>
+#include <azurelb/control/store_keys.hpp>
+#include <azurelb/control/vm_service.hpp>
+#include <azurelb/jobs/job_codec.hpp>
+#include <azurelb/keyspace/keyspace.hpp>
+#include <azurelb/log/log.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azurelb {
+
+using std::chrono::milliseconds;
+namespace json = boost::json;
+
+namespace {
+
+/** Longest wait of one watch for jobs. */
+constexpr milliseconds jobWatchWait{5000};
+/** Events that arrive within this time are decided on together. */
+constexpr milliseconds decisionInterval{4};
+/** Interval of the checks that no event triggers: lost executors, occurrences that come due. */
+constexpr milliseconds tickInterval{50};
+/** Wait for an end in one report. With runs, the lease is renewed three times in its term. */
+constexpr milliseconds busyWait{900};
+constexpr milliseconds idleWait{2000};
+/** Backfill runs are paced by reports of the last half second. */
+constexpr milliseconds pacedWait{500};
+/** Pause before an executor that did not answer is asked again, times the failures in a row. */
+constexpr milliseconds silentPause{120};
+constexpr unsigned mostPauses{6};
+/** Interval of the published count of waiting jobs, which may be two seconds old. */
+constexpr milliseconds publishInterval{500};
+/** How long a job that is over can be asked for: the platform's 120 s and a margin. */
+constexpr milliseconds retention{150'000};
+constexpr milliseconds cleaningInterval{5000};
+/** Run numbers of one owner; the token forms the upper part. */
+constexpr run_number runsPerOwner{run_number{1} << 24U};
+
+milliseconds unixNow()
+{
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+/** Splits KEY of PREFIX ID SUFFIX; empty if it has another form. */
+job_id jobOfKey(std::string_view key, std::string_view suffix)
+{
+    key.remove_prefix(std::min(key.size(), store_keys::jobs.size()));
+    if (!key.ends_with(suffix))
+        return {};
+    key.remove_suffix(suffix.size());
+    return job_id{key};
+}
+
+} // namespace
+
+owner::owner(services with, const scheduling_options &options, store_revision token,
+             lost_handler onLost)
+    : m_with{std::move(with)}
+    , m_options{options}
+    , m_token{token}
+    , m_onLost{std::move(onLost)}
+    , m_scheduler{options, token * runsPerOwner}
+    , m_writer{m_with.loop, m_with.store, m_scheduler, token, [this] { stored(); },
+               [this] { m_onLost("the key belongs to another owner"); }}
+    , m_advanceTimer{m_with.loop}
+    , m_tickTimer{m_with.loop}
+{ }
+
+owner::~owner()
+{
+    for (const auto &[id, each] : m_channels)
+        m_with.executors.forget(id);
+}
+
+void owner::start()
+{
+    m_with.executors.setToken(m_token);
+    m_with.vms.setToken(m_token);
+    load(std::string{store_keys::progress}, {}, [this] {
+        load(std::string{store_keys::executors}, {}, [this] { follow(); });
+    });
+}
+
+void owner::load(std::string prefix, std::string after, std::function<void()> next)
+{
+    m_with.store.range(prefix, after, [this, prefix, after, next = std::move(next),
+                                       alive = std::weak_ptr<bool>{m_alive}](
+                                          keyspace_range &&page) {
+        if (alive.expired())
+            return;
+        if (page.error != keyspace_error::none) {
+            m_tickTimer.expires_after(silentPause);
+            m_tickTimer.async_wait([this, prefix, after, next](const auto &cancelled) {
+                if (!cancelled)
+                    load(prefix, after, next);
+            });
+            return;
+        }
+        for (const keyspace_item &each : page.items)
+            takeStored(each);
+        if (page.more && !page.items.empty())
+            load(prefix, page.items.back().key, next);
+        else
+            next();
+    });
+}
+
+void owner::takeStored(const keyspace_item &item)
+{
+    const std::string_view key{item.key};
+    if (key.starts_with(store_keys::progress)) {
+        auto progress = decodeProgress(item.value);
+        if (progress)
+            m_stored[job_id{key.substr(store_keys::progress.size())}] = {std::move(*progress),
+                                                                        item.revision};
+        else
+            logEvent(event::stored_value_damaged, {{"key", key}});
+        return;
+    }
+    const auto info = decodeRoster(item.value);
+    if (!info) {
+        logEvent(event::stored_value_damaged, {{"key", key}});
+        return;
+    }
+    m_scheduler.registerExecutor(*info, boot_clock::now());
+    m_scheduler.unregisterExecutor(info->id);
+    m_scheduler.executors().find(info->id)->enrolled = true;
+}
+
+void owner::follow()
+{
+    m_jobs = std::make_unique<prefix_follower>(
+        m_with.loop, m_with.store, std::string{store_keys::jobs}, jobWatchWait,
+        [this](const keyspace_item &item) { takeJob(item); },
+        [this] {
+            m_jobsLoaded = true;
+            m_directory = m_with.makeDirectory();
+            m_directory->start({[this](const executor_registration &info) { seen(info); },
+                                [this](const executor_id &id) {
+                                    m_registered.erase(id);
+                                    m_scheduler.unregisterExecutor(id);
+                                    kick();
+                                },
+                                [this] { begin(); }});
+        });
+    m_jobs->start();
+}
+
+void owner::takeJob(const keyspace_item &item)
+{
+    if (item.removed)
+        return;
+    if (const job_id cancelled = jobOfKey(item.key, store_keys::cancelSuffix);
+        !cancelled.empty()) {
+        if (!m_scheduler.jobs().find(cancelled))
+            m_cancelledEarly.insert(cancelled);
+        m_scheduler.cancelJob(cancelled, boot_clock::now());
+        kick();
+        return;
+    }
+    const auto record = decodeJob(item.value);
+    if (!record) {
+        logEvent(event::stored_value_damaged, {{"key", item.key}});
+        return;
+    }
+    if (record->configVersion > m_wishes.config.version)
+        m_deferred.push_back(*record);
+    else
+        addJob(*record);
+}
+
+void owner::addJob(const job_record &record)
+{
+    const boot_time now = boot_clock::now();
+    const boot_time acceptedAt = std::min(now, now - (unixNow() - record.acceptedAt));
+    const auto found = m_stored.find(record.id);
+    const stored_progress known = found == m_stored.end() ? stored_progress{} : found->second;
+    m_scheduler.addJob(record, known.progress, known.revision, !m_jobsLoaded, acceptedAt);
+    if (found != m_stored.end())
+        m_stored.erase(found);
+    if (m_cancelledEarly.erase(record.id) != 0)
+        m_scheduler.cancelJob(record.id, now);
+    kick();
+}
+
+void owner::admitDeferred()
+{
+    for (const job_record &each : std::exchange(m_deferred, {})) {
+        if (each.configVersion > m_wishes.config.version)
+            m_deferred.push_back(each);
+        else
+            addJob(each);
+    }
+}
+
+void owner::apply(const operator_wishes &wishes)
+{
+    m_wishes = wishes;
+    m_scheduler.apply(wishes.config);
+    m_scheduler.setEvacuated(wishes.evacuatedZones);
+    admitDeferred();
+    kick();
+}
+
+void owner::begin()
+{
+    m_began = true;
+    logEvent(event::owner_ready, {{"token", m_token},
+                                  {"jobs", m_scheduler.jobs().size()},
+                                  {"executors", m_scheduler.executors().all().size()}});
+    // Executors of the roster that the directory does not know may still run something.
+    for (const auto &[id, executor] : m_scheduler.executors().all()) {
+        if (!m_channels.contains(id))
+            ask(id);
+    }
+    tick();
+}
+
+void owner::seen(const executor_registration &info)
+{
+    m_registered[info.id] = info;
+    const executor_entry *const known = m_scheduler.executors().find(info.id);
+    if (known && known->info.address != info.address) {
+        m_with.executors.forget(info.id);
+        m_channels.erase(info.id);
+    }
+    m_scheduler.registerExecutor(info, boot_clock::now());
+    const executor_entry *const executor = m_scheduler.executors().find(info.id);
+    if (executor && !executor->enrolled)
+        m_writer.kick();
+    if (!m_channels.contains(info.id))
+        ask(info.id);
+    kick();
+}
+
+bool owner::mayOrder() const
+{
+    return boot_clock::now() < m_with.confirmedAt() + m_options.ownerBound;
+}
+
+milliseconds owner::unixOffset() const
+{
+    return unixNow() - boot_clock::now().time_since_epoch();
+}
+
+void owner::ask(const executor_id &id)
+{
+    executor_entry *const executor = m_scheduler.executors().find(id);
+    if (!executor) {
+        m_channels.erase(id);
+        m_with.executors.forget(id);
+        return;
+    }
+    auto &held = m_channels[id];
+    if (!held)
+        held = std::make_unique<channel>(m_with.loop);
+    channel &to = *held;
+    if (to.asking)
+        return;
+    if (!mayOrder()) {
+        askLater(id, tickInterval);
+        return;
+    }
+    const boot_time now = boot_clock::now();
+    report_request request;
+    request.executor = id;
+    request.address = executor->info.address;
+    request.acknowledged = to.restartNumbers ? 0 : executor->storedEnds;
+    if (executor->contacted && !to.restartNumbers) {
+        request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
+        m_scheduler.executors().noteLease(*executor, *request.leaseEnd);
+        const bool paced =
+            std::any_of(executor->assignments.begin(), executor->assignments.end(),
+                        [](const auto &each) { return each.second.backfill; });
+        request.wait = executor->assignments.empty() ? idleWait : paced ? pacedWait : busyWait;
+    }
+    to.asking = true;
+    m_with.executors.report(request, [this, id, now, alive = std::weak_ptr<bool>{m_alive}](
+                                         executor_reply &&reply) {
+        if (!alive.expired())
+            answered(id, std::move(reply), now);
+    });
+}
+
+void owner::askLater(const executor_id &id, milliseconds pause)
+{
+    channel &to = *m_channels.at(id);
+    to.timer.expires_after(pause);
+    to.timer.async_wait([this, id](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            ask(id);
+    });
+}
+
+void owner::answered(const executor_id &id, executor_reply &&reply, boot_time askedAt)
+{
+    const auto found = m_channels.find(id);
+    if (found == m_channels.end())
+        return;
+    channel &to = *found->second;
+    to.asking = false;
+    const boot_time now = boot_clock::now();
+    if (reply.outcome == report_outcome::fenced) {
+        m_onLost("an executor follows a newer owner");
+        return;
+    }
+    if (reply.outcome == report_outcome::other_life) {
+        logEvent(event::executor_ended, {{"executor", id}, {"reason", "another life answered"}});
+        m_scheduler.endExecutor(id, now);
+        m_writer.kick();
+        kick();
+        ask(id);
+        return;
+    }
+    if (reply.outcome == report_outcome::silent) {
+        if (to.failures == 0)
+            logEvent(event::executor_silent, {{"executor", id}});
+        to.failures = std::min(to.failures + 1, mostPauses);
+        to.restartNumbers = true;
+        m_scheduler.noteSilence(id);
+        askLater(id, silentPause * to.failures);
+        kick();
+        return;
+    }
+    to.failures = 0;
+    to.restartNumbers = false;
+    m_scheduler.observe(id, reply.report, askedAt, now);
+    kick();
+    const executor_entry *const executor = m_scheduler.executors().find(id);
+    if (executor && executor->processedEnds > executor->storedEnds)
+        m_writer.kick();
+    else
+        ask(id);
+}
+
+void owner::stored()
+{
+    // Ends that wait for their acknowledgement hold their executor's next report back.
+    std::vector<executor_id> waiting;
+    for (const auto &[id, each] : m_channels) {
+        const executor_entry *const executor = m_scheduler.executors().find(id);
+        if (!each->asking && each->failures == 0
+            && (!executor || executor->processedEnds <= executor->storedEnds))
+            waiting.push_back(id);
+    }
+    for (const executor_id &id : waiting)
+        ask(id);
+    kick();
+}
+
+void owner::kick()
+{
+    if (!m_began || std::exchange(m_kicked, true))
+        return;
+    m_advanceTimer.expires_after(decisionInterval);
+    m_advanceTimer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            advance();
+    });
+}
+
+void owner::advance()
+{
+    m_kicked = false;
+    if (!mayOrder())
+        return;
+    m_scheduler.advance(boot_clock::now(), unixOffset());
+    carry();
+    m_writer.kick();
+}
+
+void owner::carry()
+{
+    for (const executor_order &each : m_scheduler.takeOrders())
+        std::visit([this](const auto &order) { carry(order); }, each);
+}
+
+void owner::carry(const start_order &order)
+{
+    const executor_entry *const executor = m_scheduler.executors().find(order.executor);
+    if (!executor)
+        return;
+    logEvent(event::run_ordered, {{"task", toString(order.task)},
+                                  {"run", order.run},
+                                  {"executor", order.executor},
+                                  {"token", m_token}});
+    m_with.executors.start(executor->info.address, order,
+                           [this, order, alive = std::weak_ptr<bool>{m_alive}](
+                               start_outcome outcome) {
+                               if (alive.expired())
+                                   return;
+                               if (outcome == start_outcome::fenced) {
+                                   m_onLost("an executor follows a newer owner");
+                                   return;
+                               }
+                               if (outcome != start_outcome::started)
+                                   logEvent(event::run_not_started,
+                                            {{"task", toString(order.task)},
+                                             {"run", order.run},
+                                             {"executor", order.executor},
+                                             {"outcome", toString(outcome)}});
+                               m_scheduler.noteStart(order, outcome, boot_clock::now());
+                               if (outcome != start_outcome::started)
+                                   kick();
+                           });
+}
+
+void owner::carry(const stop_order &order)
+{
+    const executor_entry *const executor = m_scheduler.executors().find(order.executor);
+    if (!executor)
+        return;
+    logEvent(event::run_stop_ordered, {{"task", toString(order.task)},
+                                       {"run", order.run},
+                                       {"executor", order.executor}});
+    m_with.executors.stop(executor->info.address, order,
+                          [this, order, alive = std::weak_ptr<bool>{m_alive}](
+                              start_outcome outcome) {
+                              if (!alive.expired())
+                                  m_scheduler.noteStop(order, outcome == start_outcome::started,
+                                                       boot_clock::now());
+                          });
+}
+
+void owner::carry(const pace_order &order)
+{
+    if (const executor_entry *const executor = m_scheduler.executors().find(order.executor))
+        m_with.executors.pace(executor->info.address, order, [](start_outcome) {});
+}
+
+void owner::tick()
+{
+    const boot_time now = boot_clock::now();
+    for (const auto &[id, info] : m_registered) {
+        if (!m_scheduler.executors().find(id))
+            seen(info);
+    }
+    if (now - m_publishedAt >= publishInterval)
+        publishWaiting();
+    if (now - m_cleanedAt >= cleaningInterval)
+        removeExpired();
+    kick();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            tick();
+    });
+}
+
+void owner::publishWaiting()
+{
+    json::object counts;
+    for (const queue_entry &each : m_wishes.config.queues) {
+        if (const std::size_t waiting = m_scheduler.jobs().waiting(each.name))
+            counts[each.name] = waiting;
+    }
+    std::string text = json::serialize(counts);
+    m_publishedAt = boot_clock::now();
+    if (text == m_publishedWaiting)
+        return;
+    const keyspace_write write{{{std::string{store_keys::owner}, m_token}},
+                               {{std::string{store_keys::waiting}, text, 0}},
+                               {}};
+    m_with.store.commit(write, [this, text, alive = std::weak_ptr<bool>{m_alive}](
+                                   keyspace_commit &&outcome) {
+        if (!alive.expired() && outcome.error == keyspace_error::none)
+            m_publishedWaiting = text;
+    });
+}
+
+void owner::removeExpired()
+{
+    const boot_time now = boot_clock::now();
+    m_cleanedAt = now;
+    for (const job_id &id : m_scheduler.jobs().endedBefore(now - retention)) {
+        m_scheduler.jobs().erase(id);
+        m_writer.remove({store_keys::jobRecord(id), store_keys::jobCancel(id),
+                         store_keys::jobProgress(id)});
+    }
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/control/owner.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <azurelb/catalogue/catalogue.hpp>
+#include <azurelb/catalogue/wave_entry.hpp>
+#include <azurelb/control/executor_directory.hpp>
+#include <azurelb/control/executor_gateway.hpp>
+#include <azurelb/control/fwd.hpp>
+#include <azurelb/control/progress_writer.hpp>
+#include <azurelb/keyspace/prefix_follower.hpp>
+#include <azurelb/scheduling/scheduler.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace azurelb {
+
+/** What the operators ask for, as last read. */
+struct operator_wishes
+{
+    catalogue config{};
+    std::set<std::string> evacuatedZones{};
+    std::vector<wave_entry> waves{};
+};
+
+/**
+ * Owns all jobs while its daemon holds the owner's key: loads what is stored, contacts every
+ * executor under its fencing token, then carries the scheduler's orders and stores progress.
+ * Destroying it ends all its work; calls under way have no further effect here.
+ */
+class owner
+{
+public:
+    using lost_handler = std::function<void(std::string_view reason)>;
+    using confirmed_source = std::function<boot_time()>;
+
+    /** Interfaces that an owner works through; they outlive it. */
+    struct services
+    {
+        boost::asio::io_context &loop;
+        keyspace &store;
+        executor_gateway &executors;
+        vm_service &vms;
+        executor_directory_factory makeDirectory;
+        /** When the last confirmed renewal of the owner's lease was sent. */
+        confirmed_source confirmedAt;
+    };
+
+    owner(services with, const scheduling_options &options, store_revision token,
+          lost_handler onLost);
+    owner(const owner &) = delete;
+    owner &operator=(const owner &) = delete;
+    ~owner();
+
+    void start();
+
+    void apply(const operator_wishes &wishes);
+
+private:
+    /** Calls to one executor. */
+    struct channel
+    {
+        bool asking{false};
+        /** The next report is asked for at once, for the executor did not answer. */
+        unsigned failures{0};
+        /** Ends may have been numbered anew since the last answer. */
+        bool restartNumbers{true};
+        boost::asio::steady_timer timer;
+
+        explicit channel(boost::asio::io_context &loop)
+            : timer{loop}
+        { }
+    };
+
+    void load(std::string prefix, std::string after, std::function<void()> next);
+    void takeStored(const keyspace_item &item);
+    void follow();
+    void takeJob(const keyspace_item &item);
+    void addJob(const job_record &record);
+    void admitDeferred();
+    void begin();
+    void seen(const executor_registration &info);
+    void ask(const executor_id &id);
+    void askLater(const executor_id &id, std::chrono::milliseconds pause);
+    void answered(const executor_id &id, executor_reply &&reply, boot_time askedAt);
+    void kick();
+    void advance();
+    void carry();
+    void carry(const start_order &order);
+    void carry(const stop_order &order);
+    void carry(const pace_order &order);
+    void stored();
+    void tick();
+    void publishWaiting();
+    void removeExpired();
+    [[nodiscard]] bool mayOrder() const;
+    [[nodiscard]] std::chrono::milliseconds unixOffset() const;
+
+    services m_with;
+    scheduling_options m_options;
+    store_revision m_token;
+    lost_handler m_onLost;
+    scheduler m_scheduler;
+    progress_writer m_writer;
+    std::unique_ptr<prefix_follower> m_jobs;
+    std::unique_ptr<executor_directory> m_directory;
+    std::unordered_map<executor_id, executor_registration> m_registered{};
+    std::unordered_map<executor_id, std::unique_ptr<channel>> m_channels{};
+    /** Progress that was stored by earlier owners, until its job is added. */
+    struct stored_progress
+    {
+        job_progress progress{};
+        store_revision revision{0};
+    };
+    std::unordered_map<job_id, stored_progress> m_stored{};
+    /** Jobs accepted under a configuration that this daemon has not read yet. */
+    std::vector<job_record> m_deferred{};
+    std::set<job_id> m_cancelledEarly{};
+    operator_wishes m_wishes{};
+    std::string m_publishedWaiting{};
+    boot_time m_publishedAt{};
+    boot_time m_cleanedAt{};
+    bool m_jobsLoaded{false};
+    bool m_began{false};
+    bool m_kicked{false};
+    boost::asio::steady_timer m_advanceTimer;
+    boost::asio::steady_timer m_tickTimer;
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
+};
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/control/progress_writer.cpp
@@ -0,0 +1,218 @@
+#include <azurelb/control/executor_roster.hpp>
+#include <azurelb/control/progress_writer.hpp>
+#include <azurelb/control/store_keys.hpp>
+#include <azurelb/jobs/job_codec.hpp>
+#include <azurelb/keyspace/keyspace.hpp>
+#include <azurelb/log/log.hpp>
+#include <azurelb/scheduling/scheduler.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace azurelb {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Ends that arrive within this time are stored by one write. */
+constexpr milliseconds groupingTime{12};
+/** Pause after a write that failed or was refused. */
+constexpr milliseconds retryPause{100};
+/** The condition on the owner's key takes one entry of each write. */
+constexpr std::size_t maxUnitEntries{keyspace::maxWriteEntries - 1};
+
+std::size_t sizeOf(const keyspace_write &write) noexcept
+{
+    return write.conditions.size() + write.puts.size() + write.removals.size();
+}
+
+void append(keyspace_write &to, const keyspace_write &from)
+{
+    to.conditions.insert(to.conditions.end(), from.conditions.begin(), from.conditions.end());
+    to.puts.insert(to.puts.end(), from.puts.begin(), from.puts.end());
+    to.removals.insert(to.removals.end(), from.removals.begin(), from.removals.end());
+}
+
+} // namespace
+
+progress_writer::progress_writer(boost::asio::io_context &loop, keyspace &to, scheduler &from,
+                                 store_revision token, stored_handler onStored,
+                                 lost_handler onLost)
+    : m_loop{loop}
+    , m_keyspace{to}
+    , m_scheduler{from}
+    , m_token{token}
+    , m_onStored{std::move(onStored)}
+    , m_onLost{std::move(onLost)}
+    , m_timer{loop}
+{ }
+
+void progress_writer::kick()
+{
+    if (m_busy || std::exchange(m_armed, true))
+        return;
+    m_timer.expires_after(groupingTime);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            flush();
+    });
+}
+
+void progress_writer::remove(const std::vector<std::string> &keys)
+{
+    m_removals.insert(m_removals.end(), keys.begin(), keys.end());
+    kick();
+}
+
+void progress_writer::flush()
+{
+    m_armed = false;
+    m_busy = true;
+    collect();
+    writeNext();
+}
+
+void progress_writer::collect()
+{
+    m_units.clear();
+    m_ends.clear();
+    for (const auto &[id, executor] : m_scheduler.executors().all()) {
+        if (executor.processedEnds > executor.storedEnds)
+            m_ends.push_back({id, executor.info.born, executor.processedEnds});
+    }
+    collectJobs();
+    collectExecutors();
+    for (std::string &key : std::exchange(m_removals, {}))
+        m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}});
+}
+
+void progress_writer::collectJobs()
+{
+    for (const job_id &id : m_scheduler.jobs().takeDirty()) {
+        const job_entry *const job = std::as_const(m_scheduler).jobs().find(id);
+        if (!job)
+            continue;
+        const std::string key = store_keys::jobProgress(id);
+        m_units.push_back({{{{key, job->storedRevision}},
+                            {{key, encode(job_table::progressOf(*job)), 0}},
+                            {}},
+                           id,
+                           {}});
+    }
+}
+
+void progress_writer::collectExecutors()
+{
+    for (const auto &[id, executor] : m_scheduler.executors().all()) {
+        if (executor.registered && !executor.enrolled)
+            m_units.push_back(
+                {{{}, {{store_keys::executor(id), encodeRoster(executor.info), 0}}, {}}, {}, id});
+    }
+    for (const executor_id &id : m_scheduler.takeEnded()) {
+        // It may have been registered again meanwhile.
+        if (!m_scheduler.executors().find(id))
+            m_units.push_back({{{}, {}, {store_keys::executor(id)}}, {}, {}});
+    }
+}
+
+void progress_writer::writeNext()
+{
+    if (m_units.empty()) {
+        finish();
+        return;
+    }
+    keyspace_write write;
+    std::vector<unit> chunk;
+    while (!m_units.empty() && sizeOf(write) + sizeOf(m_units.back().write) <= maxUnitEntries) {
+        append(write, m_units.back().write);
+        chunk.push_back(std::move(m_units.back()));
+        m_units.pop_back();
+    }
+    write.conditions.push_back({std::string{store_keys::owner}, m_token});
+    m_keyspace.commit(write, [this, chunk = std::move(chunk),
+                              alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) mutable {
+        if (!alive.expired())
+            written(std::move(chunk), std::move(outcome));
+    });
+}
+
+void progress_writer::written(std::vector<unit> &&chunk, keyspace_commit &&outcome)
+{
+    if (outcome.error == keyspace_error::none) {
+        accept(chunk, outcome.revision);
+        writeNext();
+        return;
+    }
+    if (outcome.error == keyspace_error::conflict) {
+        const auto owner = std::find_if(
+            outcome.current.begin(), outcome.current.end(),
+            [](const keyspace_item &each) { return each.key == store_keys::owner; });
+        if (owner == outcome.current.end() || owner->revision != m_token) {
+            m_onLost();
+            return;
+        }
+    } else {
+        logEvent(event::progress_not_stored,
+                 {{"error", toString(outcome.error)}, {"entries", chunk.size()}});
+    }
+    m_units.insert(m_units.end(), std::make_move_iterator(chunk.begin()),
+                   std::make_move_iterator(chunk.end()));
+    resolve(m_units, outcome);
+    retryLater();
+}
+
+void progress_writer::accept(const std::vector<unit> &chunk, store_revision revision)
+{
+    for (const unit &each : chunk) {
+        if (job_entry *const job = m_scheduler.jobs().find(each.job))
+            job->storedRevision = revision;
+        if (executor_entry *const executor = m_scheduler.executors().find(each.enrolled))
+            executor->enrolled = true;
+    }
+}
+
+/** Puts the units back to where they came from; the next flush collects them as they are then. */
+void progress_writer::resolve(const std::vector<unit> &chunk, const keyspace_commit &outcome)
+{
+    for (const unit &each : chunk) {
+        job_entry *const job = m_scheduler.jobs().find(each.job);
+        if (job) {
+            const std::string key = store_keys::jobProgress(each.job);
+            const auto found =
+                std::find_if(outcome.current.begin(), outcome.current.end(),
+                             [&key](const keyspace_item &item) { return item.key == key; });
+            if (found != outcome.current.end())
+                job->storedRevision = found->revision;
+            m_scheduler.jobs().markDirty(*job);
+        }
+        m_removals.insert(m_removals.end(), each.write.removals.begin(),
+                          each.write.removals.end());
+    }
+}
+
+void progress_writer::retryLater()
+{
+    m_units.clear();
+    m_timer.expires_after(retryPause);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            flush();
+    });
+}
+
+void progress_writer::finish()
+{
+    m_busy = false;
+    for (const processed_ends &each : m_ends) {
+        executor_entry *const executor = m_scheduler.executors().find(each.executor);
+        if (executor && executor->info.born == each.born)
+            executor->storedEnds = std::max(executor->storedEnds, each.sequence);
+    }
+    m_ends.clear();
+    m_onStored();
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/core/boot_clock.cpp
@@ -0,0 +1,16 @@
+#include <azurelb/core/boot_clock.hpp>
+
+#include <ctime>
+
+namespace azurelb {
+
+boot_clock::time_point boot_clock::now() noexcept
+{
+    timespec reading{};
+    ::clock_gettime(CLOCK_BOOTTIME, &reading);
+    const auto whole = std::chrono::seconds{reading.tv_sec};
+    const auto part = std::chrono::nanoseconds{reading.tv_nsec};
+    return time_point{std::chrono::floor<duration>(whole + part)};
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/intake/job_intake.cpp
@@ -0,0 +1,161 @@
+#include <azurelb/control/store_keys.hpp>
+#include <azurelb/core/await_callback.hpp>
+#include <azurelb/core/boot_clock.hpp>
+#include <azurelb/intake/job_intake.hpp>
+#include <azurelb/jobs/job_codec.hpp>
+#include <azurelb/jobs/job_progress.hpp>
+#include <azurelb/jobs/job_record.hpp>
+#include <azurelb/keyspace/keyspace.hpp>
+#include <azurelb/log/log.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace azurelb {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Pause between attempts at the store. */
+constexpr milliseconds retryPause{70};
+/** While the store refuses, an operation is given up after this time, so that the caller can ask
+    another daemon: a fifth of the usual deadline. */
+constexpr milliseconds refusalPatience{600};
+/** Kept back from the deadline for the answer's way to the caller. */
+constexpr milliseconds answerReserve{150};
+
+boot_time latestEnd(boot_time from, milliseconds deadline)
+{
+    return from + std::max(deadline - answerReserve, milliseconds{0});
+}
+
+} // namespace
+
+job_intake::job_intake(asio::io_context &loop, keyspace &with)
+    : m_loop{loop}
+    , m_keyspace{with}
+{ }
+
+asio::awaitable<void> job_intake::pause()
+{
+    asio::steady_timer timer{m_loop, retryPause};
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<keyspace_commit> job_intake::commit(const keyspace_write &write)
+{
+    auto outcome = co_await awaitCallback<keyspace_commit>(
+        m_loop, [this, &write](auto done) { m_keyspace.commit(write, std::move(done)); });
+    co_return outcome ? std::move(*outcome) : keyspace_commit{keyspace_error::unknown, 0, {}};
+}
+
+asio::awaitable<keyspace_range> job_intake::get(std::string key, milliseconds deadline)
+{
+    const boot_time begun = boot_clock::now();
+    const boot_time latest = std::min(latestEnd(begun, deadline), begun + refusalPatience);
+    while (true) {
+        auto answer = co_await awaitCallback<keyspace_range>(
+            m_loop, [this, &key](auto done) { m_keyspace.get(key, std::move(done)); });
+        keyspace_range read =
+            answer ? std::move(*answer) : keyspace_range{keyspace_error::unknown, {}, false, 0};
+        const bool final =
+            read.error == keyspace_error::none || read.error == keyspace_error::missing;
+        if (final || boot_clock::now() + retryPause >= latest)
+            co_return read;
+        co_await pause();
+    }
+}
+
+asio::awaitable<intake_outcome> job_intake::submit(job_record job, milliseconds deadline)
+{
+    const boot_time begun = boot_clock::now();
+    const std::string key = store_keys::jobRecord(job.id);
+    const keyspace_write write{{{key, 0}}, {{key, encode(job), 0}}, {}};
+    bool mayExist = false;
+    while (true) {
+        const keyspace_commit outcome = co_await commit(write);
+        if (outcome.error == keyspace_error::none || outcome.error == keyspace_error::conflict)
+            co_return intake_outcome::done;
+        mayExist = mayExist || outcome.error != keyspace_error::refused;
+        // Once it may exist only the store can tell, so all the time there is goes into asking.
+        const boot_time latest = mayExist
+            ? latestEnd(begun, deadline)
+            : std::min(latestEnd(begun, deadline), begun + refusalPatience);
+        if (boot_clock::now() + retryPause >= latest)
+            co_return mayExist ? intake_outcome::unknown : intake_outcome::refused;
+        co_await pause();
+    }
+}
+
+asio::awaitable<intake_outcome> job_intake::cancel(job_id id, milliseconds deadline)
+{
+    const boot_time latest = latestEnd(boot_clock::now(), deadline);
+    const std::string record = store_keys::jobRecord(id);
+    const std::string mark = store_keys::jobCancel(id);
+    while (true) {
+        const keyspace_range read = co_await get(record, deadline);
+        if (read.error == keyspace_error::missing)
+            co_return intake_outcome::missing;
+        if (read.error == keyspace_error::none) {
+            const keyspace_write write{{{record, read.items.front().revision}, {mark, 0}},
+                                       {{mark, "{}", 0}},
+                                       {}};
+            const keyspace_commit outcome = co_await commit(write);
+            if (outcome.error == keyspace_error::none)
+                co_return intake_outcome::done;
+            const bool marked = std::any_of(
+                outcome.current.begin(), outcome.current.end(),
+                [&mark](const keyspace_item &each) { return each.key == mark && each.revision != 0; });
+            if (outcome.error == keyspace_error::conflict && marked)
+                co_return intake_outcome::done;
+        }
+        if (boot_clock::now() + retryPause >= latest)
+            co_return intake_outcome::unknown;
+        co_await pause();
+    }
+}
+
+asio::awaitable<state_result> job_intake::state(job_id id, milliseconds deadline)
+{
+    const keyspace_range progress = co_await get(store_keys::jobProgress(id), deadline);
+    if (progress.error == keyspace_error::none) {
+        const auto decoded = decodeProgress(progress.items.front().value);
+        if (decoded)
+            co_return state_result{intake_outcome::done, decoded->state};
+        logEvent(event::stored_value_damaged, {{"key", store_keys::jobProgress(id)}});
+        co_return state_result{intake_outcome::refused, job_state::pending};
+    }
+    if (progress.error != keyspace_error::missing)
+        co_return state_result{intake_outcome::refused, job_state::pending};
+    const keyspace_range record = co_await get(store_keys::jobRecord(id), deadline);
+    if (record.error == keyspace_error::missing)
+        co_return state_result{intake_outcome::missing, job_state::pending};
+    if (record.error != keyspace_error::none)
+        co_return state_result{intake_outcome::refused, job_state::pending};
+    co_return state_result{intake_outcome::done, job_state::pending};
+}
+
+asio::awaitable<waiting_result> job_intake::waiting(std::string queue, milliseconds deadline)
+{
+    const keyspace_range read = co_await get(std::string{store_keys::waiting}, deadline);
+    if (read.error == keyspace_error::missing)
+        co_return waiting_result{intake_outcome::done, 0};
+    if (read.error != keyspace_error::none)
+        co_return waiting_result{};
+    boost::system::error_code failure;
+    const boost::json::value counts = boost::json::parse(read.items.front().value, failure);
+    if (failure || !counts.is_object()) {
+        logEvent(event::stored_value_damaged, {{"key", store_keys::waiting}});
+        co_return waiting_result{};
+    }
+    const boost::json::value *const count = counts.get_object().if_contains(queue);
+    co_return waiting_result{intake_outcome::done,
+                             count ? count->to_number<std::size_t>() : std::size_t{0}};
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/jobs/fwd.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace azurelb {
+
+enum class job_state;
+struct resources;
+struct job_step;
+struct job_record;
+struct job_progress;
+struct job_step;
+struct task_id;
+struct task_progress;
+
+/** Identifier of a job, chosen by the caller. */
+using job_id = std::string;
+
+/** Number of one run of a task; rises with each run, over all owners. */
+using run_number = std::int64_t;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/jobs/resources.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+
+namespace azurelb {
+
+/** Capacity, request or use of processor, memory and accelerators. */
+struct resources
+{
+    /** Thousandths of a core. */
+    std::int64_t cpu{0};
+    /** Megabytes. */
+    std::int64_t memory{0};
+    /** Accelerators. */
+    std::int64_t accelerators{0};
+
+    constexpr resources &operator+=(const resources &other) noexcept
+    {
+        cpu += other.cpu;
+        memory += other.memory;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    constexpr resources &operator-=(const resources &other) noexcept
+    {
+        cpu -= other.cpu;
+        memory -= other.memory;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    [[nodiscard]] friend constexpr resources operator+(resources left,
+                                                       const resources &right) noexcept
+    {
+        return left += right;
+    }
+
+    [[nodiscard]] friend constexpr resources operator-(resources left,
+                                                       const resources &right) noexcept
+    {
+        return left -= right;
+    }
+
+    [[nodiscard]] friend constexpr bool operator==(const resources &,
+                                                   const resources &) noexcept = default;
+};
+
+/** Whether the request fits into what is free. */
+[[nodiscard]] constexpr bool fits(const resources &request, const resources &free) noexcept
+{
+    return request.cpu <= free.cpu && request.memory <= free.memory
+        && request.accelerators <= free.accelerators;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/jobs/task_id.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <azurelb/jobs/fwd.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace azurelb {
+
+/** Names one task: job, occurrence, step and index within the step. */
+struct task_id
+{
+    job_id job{};
+    std::uint32_t occurrence{0};
+    std::uint32_t step{0};
+    std::uint32_t index{0};
+
+    [[nodiscard]] friend bool operator==(const task_id &, const task_id &) = default;
+    [[nodiscard]] friend auto operator<=>(const task_id &, const task_id &) = default;
+};
+
+/** The name as JOB.OCCURRENCE.STEP.INDEX. */
+[[nodiscard]] std::string toString(const task_id &task);
+
+/** Reads a name written by toString(); nothing if it has another form. */
+[[nodiscard]] std::optional<task_id> parseTaskId(std::string_view text);
+
+} // namespace azurelb
+
+template <>
+struct std::hash<azurelb::task_id>
+{
+    [[nodiscard]] std::size_t operator()(const azurelb::task_id &task) const noexcept
+    {
+        constexpr std::size_t oddFactor{1'000'003};
+        std::size_t seed = std::hash<std::string_view>{}(task.job);
+        for (const std::uint32_t part : {task.occurrence, task.step, task.index})
+            seed = seed * oddFactor + part;
+        return seed;
+    }
+};
--- /dev/null
+++ b/src/azurelb/keyspace/fwd.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace azurelb {
+
+enum class keyspace_error;
+struct keyspace_item;
+struct keyspace_range;
+struct keyspace_changes;
+struct keyspace_commit;
+struct keyspace_lease;
+struct keyspace_write;
+class keyspace;
+class prefix_follower;
+
+/** Position in the store's order of changes. */
+using store_revision = std::int64_t;
+
+/** Names a lease of the store; 0 is none. */
+using store_lease_id = std::int64_t;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/executor_entry.cpp
@@ -0,0 +1,20 @@
+#include <azurelb/scheduling/executor_entry.hpp>
+#include <azurelb/scheduling/job_entry.hpp>
+
+namespace azurelb {
+
+assignment makeAssignment(const job_entry &job, const job_step &step, run_number run)
+{
+    assignment made;
+    made.run = run;
+    made.reserved = reservation(step);
+    made.team = job.record.team;
+    made.counted = step.request;
+    made.longRunning = step.longRunning;
+    made.backfill = step.backfill;
+    made.serving = step.longRunning && !step.backfill && step.latencyTarget.count() > 0;
+    made.latencyTarget = step.latencyTarget;
+    return made;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -0,0 +1,123 @@
+#include <azurelb/scheduling/executor_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azurelb {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view rackPrefix{"r"};
+
+/** Labels hold the executor's kind and its rack; a rack's name begins with r and a digit. */
+std::string rackOf(const std::vector<std::string> &labels)
+{
+    const auto isRack = [](const std::string &label) {
+        return label.starts_with(rackPrefix) && label.size() > 1 && label[1] >= '0'
+            && label[1] <= '9';
+    };
+    const auto found = std::find_if(labels.begin(), labels.end(), isRack);
+    return found == labels.end() ? std::string{} : *found;
+}
+
+} // namespace
+
+executor_table::executor_table(const scheduling_options &options)
+    : m_options{options}
+{ }
+
+executor_entry &executor_table::insert(const executor_registration &info, boot_time now)
+{
+    const auto [place, isNew] = m_executors.try_emplace(info.id);
+    executor_entry &executor = place->second;
+    if (isNew) {
+        executor.idleSince = now;
+        // An earlier owner's lease ends at the latest when it had to stop, and a term more.
+        executor.leaseBound = now + m_options.ownerBound - m_options.ownerTerm
+            + std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor)
+            + m_options.leaseMargin;
+    }
+    executor.info = info;
+    executor.rack = rackOf(info.labels);
+    executor.registered = true;
+    return executor;
+}
+
+executor_entry *executor_table::find(const executor_id &id) noexcept
+{
+    const auto found = m_executors.find(id);
+    return found == m_executors.end() ? nullptr : &found->second;
+}
+
+assignment *executor_table::find(const executor_id &id, const task_id &task) noexcept
+{
+    executor_entry *const executor = find(id);
+    if (!executor)
+        return nullptr;
+    const auto found = executor->assignments.find(task);
+    return found == executor->assignments.end() ? nullptr : &found->second;
+}
+
+void executor_table::erase(const executor_id &id)
+{
+    if (executor_entry *const executor = find(id)) {
+        for (const auto &[task, held] : executor->assignments)
+            m_teams.remove(held.team, held.counted);
+    }
+    m_executors.erase(id);
+}
+
+assignment &executor_table::assign(executor_entry &executor, const task_id &task, assignment added)
+{
+    executor.used += added.reserved;
+    m_teams.add(added.team, added.counted);
+    return executor.assignments.insert_or_assign(task, std::move(added)).first->second;
+}
+
+void executor_table::release(executor_entry &executor, const task_id &task, boot_time now)
+{
+    const auto found = executor.assignments.find(task);
+    if (found == executor.assignments.end())
+        return;
+    executor.used -= found->second.reserved;
+    m_teams.remove(found->second.team, found->second.counted);
+    executor.assignments.erase(found);
+    if (executor.assignments.empty())
+        executor.idleSince = now;
+}
+
+milliseconds executor_table::leaseEnd(const executor_entry &executor, boot_time now) const noexcept
+{
+    return executor.clock + (now - executor.clockAt) + m_options.leaseTerm;
+}
+
+void executor_table::noteLease(executor_entry &executor, milliseconds leaseEnd) const noexcept
+{
+    const auto term = std::chrono::duration_cast<milliseconds>((leaseEnd - executor.clock)
+                                                               * slowClockFactor);
+    executor.leaseBound =
+        std::max(executor.leaseBound, executor.clockAt + term + m_options.leaseMargin);
+}
+
+bool executor_table::anyUnaccounted(boot_time now) const noexcept
+{
+    return std::any_of(m_executors.begin(), m_executors.end(), [now](const auto &each) {
+        const executor_entry &executor = each.second;
+        return executor.enrolled && !executor.contacted && now < executor.leaseBound;
+    });
+}
+
+std::vector<executor_id> executor_table::lapsed(boot_time now) const
+{
+    std::vector<executor_id> found;
+    for (const auto &[id, executor] : m_executors) {
+        const bool holds = !executor.assignments.empty();
+        if (executor.silent && now >= executor.leaseBound && (holds || !executor.registered))
+            found.push_back(id);
+    }
+    return found;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/fwd.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+namespace azurelb {
+
+enum class assignment_phase;
+enum class run_end;
+enum class start_outcome;
+struct assignment;
+struct ended_run;
+struct executor_entry;
+struct executor_registration;
+struct executor_report;
+struct job_entry;
+struct pace_order;
+struct pool_load;
+struct reported_run;
+struct scheduling_options;
+struct start_order;
+struct step_entry;
+struct stop_order;
+struct task_entry;
+class executor_table;
+class job_table;
+class scheduler;
+class team_usage;
+
+/** Identifies one life of an executor; an executor that starts again has another. */
+using executor_id = std::string;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -0,0 +1,373 @@
+#include <azurelb/catalogue/queue_entry.hpp>
+#include <azurelb/scheduling/job_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azurelb {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Longest chain of estimates through the steps; steps refer only to earlier ones. */
+milliseconds longestChain(const std::vector<job_step> &steps)
+{
+    std::vector<milliseconds> ends;
+    milliseconds longest{0};
+    for (const job_step &each : steps) {
+        milliseconds begin{0};
+        for (const std::uint32_t earlier : each.after) {
+            if (earlier < ends.size())
+                begin = std::max(begin, ends[earlier]);
+        }
+        ends.push_back(begin + each.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+double workOf(const std::vector<job_step> &steps)
+{
+    double sum = 0;
+    for (const job_step &each : steps)
+        sum += static_cast<double>(each.taskCount) * static_cast<double>(each.request.cpu) / 1000.0
+            * static_cast<double>(each.estimate.count());
+    return sum;
+}
+
+boot_time dueTime(const job_entry &job, std::uint32_t number, milliseconds unixOffset)
+{
+    if (job.record.repeats == 0)
+        return job.acceptedAt;
+    return boot_time{job.record.firstDue + number * job.record.interval - unixOffset};
+}
+
+} // namespace
+
+bool job_table::add(job_record record, const job_progress &stored, store_revision storedRevision,
+                    bool inherited, boot_time acceptedAt)
+{
+    const auto [place, isNew] = m_jobs.try_emplace(record.id);
+    if (!isNew)
+        return false;
+    job_entry &job = place->second;
+    job.record = std::move(record);
+    job.inherited = inherited;
+    job.acceptedAt = acceptedAt;
+    job.storedRevision = storedRevision;
+    job.chain = longestChain(job.record.steps);
+    job.work = workOf(job.record.steps);
+    job.state = stored.state;
+    if (isFinal(stored.state)) {
+        job.endedAt = acceptedAt;
+        return true;
+    }
+    m_open.insert(job.record.id);
+    restore(job, stored);
+    return true;
+}
+
+void job_table::restore(job_entry &job, const job_progress &stored)
+{
+    job.completedOccurrences = stored.completedOccurrences;
+    for (const task_progress &each : stored.tasks) {
+        if (!findOccurrence(job, each.occurrence))
+            openOccurrence(job, each.occurrence, job.acceptedAt);
+        occurrence_entry &occurrence = *findOccurrence(job, each.occurrence);
+        if (each.step >= occurrence.steps.size()
+            || each.index >= occurrence.steps[each.step].tasks.size())
+            continue;
+        step_entry &step = occurrence.steps[each.step];
+        task_entry &task = step.tasks[each.index];
+        task.failures = each.failures;
+        task.lastEndedRun = each.lastEndedRun;
+        task.checkpoint = each.checkpoint;
+        task.done = each.done;
+        step.done += each.done ? 1 : 0;
+    }
+    for (occurrence_entry &each : job.occurrences) {
+        each.stepsDone = static_cast<std::uint32_t>(
+            std::count_if(each.steps.begin(), each.steps.end(),
+                          [](const step_entry &step) { return step.done == step.tasks.size(); }));
+        openSteps(job.record, each);
+    }
+}
+
+void job_table::applyQueue(job_entry &job, const queue_entry &queue) const noexcept
+{
+    job.attempts = queue.attempts;
+    job.priority = queue.priority;
+    job.objective = std::chrono::duration_cast<milliseconds>(job.chain * queue.stretch)
+        + queue.target;
+}
+
+bool job_table::cancel(const job_id &id, boot_time now)
+{
+    job_entry *const job = find(id);
+    if (!job || job->cancelled || isFinal(job->state))
+        return false;
+    job->cancelled = true;
+    finish(*job, job_state::cancelled, now);
+    return true;
+}
+
+void job_table::erase(const job_id &id)
+{
+    m_open.erase(id);
+    m_jobs.erase(id);
+}
+
+job_entry *job_table::find(const job_id &id) noexcept
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const job_entry *job_table::find(const job_id &id) const noexcept
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+occurrence_entry *job_table::findOccurrence(job_entry &job, std::uint32_t number) noexcept
+{
+    const auto found =
+        std::find_if(job.occurrences.begin(), job.occurrences.end(),
+                     [number](const occurrence_entry &each) { return each.number == number; });
+    return found == job.occurrences.end() ? nullptr : &*found;
+}
+
+step_entry *job_table::findStep(const task_id &task) noexcept
+{
+    job_entry *const job = find(task.job);
+    occurrence_entry *const occurrence = job ? findOccurrence(*job, task.occurrence) : nullptr;
+    if (!occurrence || task.step >= occurrence->steps.size())
+        return nullptr;
+    return &occurrence->steps[task.step];
+}
+
+task_entry *job_table::find(const task_id &task) noexcept
+{
+    step_entry *const step = findStep(task);
+    return step && task.index < step->tasks.size() ? &step->tasks[task.index] : nullptr;
+}
+
+void job_table::openOccurrence(job_entry &job, std::uint32_t number, boot_time due)
+{
+    occurrence_entry opened;
+    opened.number = number;
+    opened.due = due;
+    for (const job_step &each : job.record.steps) {
+        step_entry step;
+        step.tasks.resize(each.taskCount);
+        opened.steps.push_back(std::move(step));
+    }
+    openSteps(job.record, opened);
+    job.occurrences.push_back(std::move(opened));
+}
+
+void job_table::openSteps(const job_record &record, occurrence_entry &occurrence)
+{
+    const auto isDone = [&occurrence](std::uint32_t index) {
+        return index >= occurrence.steps.size()
+            || occurrence.steps[index].done == occurrence.steps[index].tasks.size();
+    };
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const auto &after = record.steps[index].after;
+        occurrence.steps[index].open = std::all_of(after.begin(), after.end(), isDone);
+    }
+}
+
+void job_table::openDue(boot_time now, milliseconds unixOffset)
+{
+    for (const job_id &id : m_open) {
+        job_entry &job = m_jobs.at(id);
+        const std::uint32_t count = occurrenceCount(job.record);
+        for (; job.occurrencesMade < count; ++job.occurrencesMade) {
+            const std::uint32_t number = job.occurrencesMade;
+            const boot_time due = dueTime(job, number, unixOffset);
+            if (due > now)
+                break;
+            const auto &completed = job.completedOccurrences;
+            const bool over =
+                std::find(completed.begin(), completed.end(), number) != completed.end();
+            if (occurrence_entry *const known = findOccurrence(job, number))
+                known->due = due;
+            else if (!over)
+                openOccurrence(job, number, due);
+        }
+    }
+}
+
+std::optional<boot_time> job_table::nextDue(milliseconds unixOffset) const
+{
+    std::optional<boot_time> next;
+    for (const job_id &id : m_open) {
+        const job_entry &job = m_jobs.at(id);
+        if (job.occurrencesMade >= occurrenceCount(job.record))
+            continue;
+        const boot_time due = dueTime(job, job.occurrencesMade, unixOffset);
+        next = next ? std::min(*next, due) : due;
+    }
+    return next;
+}
+
+void job_table::assign(const task_id &task, const executor_id &executor)
+{
+    task_entry *const entry = find(task);
+    if (!entry)
+        return;
+    if (!entry->assigned) {
+        entry->assigned = true;
+        ++findStep(task)->assigned;
+    }
+    entry->executor = executor;
+    job_entry &job = *find(task.job);
+    if (job.state == job_state::pending) {
+        job.state = job_state::running;
+        markDirty(job);
+    }
+}
+
+void job_table::release(const task_id &task, const std::string &checkpoint)
+{
+    task_entry *const entry = find(task);
+    if (!entry)
+        return;
+    if (entry->assigned) {
+        entry->assigned = false;
+        --findStep(task)->assigned;
+    }
+    entry->executor.clear();
+    noteCheckpoint(task, checkpoint);
+}
+
+void job_table::noteCheckpoint(const task_id &task, const std::string &checkpoint)
+{
+    task_entry *const entry = find(task);
+    if (entry && !checkpoint.empty())
+        entry->checkpoint = checkpoint;
+}
+
+end_effect job_table::applyEnd(const ended_run &end, const executor_id &executor, boot_time now)
+{
+    job_entry *const job = find(end.task.job);
+    task_entry *const task = find(end.task);
+    if (!job || !task || isFinal(job->state) || task->done)
+        return end_effect::none;
+    const job_step &step = job->record.steps[end.task.step];
+    if (end.end == run_end::done && !step.longRunning)
+        return applyDone(*job, end.task, now);
+    if (end.run <= task->lastEndedRun)
+        return end_effect::none;
+    task->lastEndedRun = end.run;
+    noteCheckpoint(end.task, end.checkpoint);
+    markDirty(*job);
+    if (end.end == run_end::failed)
+        return applyFailure(*job, *task, executor, step.longRunning, now);
+    return end_effect::task_waits_again;
+}
+
+end_effect job_table::applyDone(job_entry &job, const task_id &task, boot_time now)
+{
+    occurrence_entry &occurrence = *findOccurrence(job, task.occurrence);
+    step_entry &step = occurrence.steps[task.step];
+    markDirty(job);
+    // The end of one member of a gang stands for all.
+    const bool gang = job.record.steps[task.step].gang;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if ((gang || index == task.index) && !std::exchange(step.tasks[index].done, true))
+            ++step.done;
+    }
+    if (step.done < step.tasks.size())
+        return end_effect::task_done;
+    ++occurrence.stepsDone;
+    openSteps(job.record, occurrence);
+    if (occurrence.stepsDone < occurrence.steps.size())
+        return end_effect::task_done;
+    job.completedOccurrences.push_back(task.occurrence);
+    if (job.completedOccurrences.size() < occurrenceCount(job.record))
+        return end_effect::task_done;
+    finish(job, job_state::completed, now);
+    return end_effect::job_completed;
+}
+
+end_effect job_table::applyFailure(job_entry &job, task_entry &task, const executor_id &executor,
+                                   bool longRunning, boot_time now)
+{
+    ++task.failures;
+    task.lastFailedOn = executor;
+    if (longRunning || job.attempts == 0 || task.failures < job.attempts)
+        return end_effect::task_waits_again;
+    finish(job, job_state::failed, now);
+    return end_effect::job_failed;
+}
+
+void job_table::finish(job_entry &job, job_state state, boot_time now)
+{
+    job.state = state;
+    job.endedAt = now;
+    m_open.erase(job.record.id);
+    markDirty(job);
+}
+
+void job_table::markDirty(job_entry &job)
+{
+    if (!std::exchange(job.dirty, true))
+        m_dirty.push_back(job.record.id);
+}
+
+std::vector<job_id> job_table::takeDirty()
+{
+    for (const job_id &id : m_dirty) {
+        if (job_entry *const job = find(id))
+            job->dirty = false;
+    }
+    return std::exchange(m_dirty, {});
+}
+
+job_progress job_table::progressOf(const job_entry &job)
+{
+    job_progress progress;
+    progress.state = job.state;
+    if (isFinal(job.state))
+        return progress;
+    progress.completedOccurrences = job.completedOccurrences;
+    for (const occurrence_entry &occurrence : job.occurrences) {
+        if (occurrence.stepsDone == occurrence.steps.size())
+            continue;
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto &tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const task_entry &task = tasks[index];
+                if (task.done || task.lastEndedRun != 0 || !task.checkpoint.empty())
+                    progress.tasks.push_back({occurrence.number, step, index, task.done,
+                                              task.failures, task.lastEndedRun, task.checkpoint});
+            }
+        }
+    }
+    return progress;
+}
+
+std::size_t job_table::waiting(const std::string &queue) const
+{
+    const auto counts = [&](const job_id &id) {
+        const job_entry &job = m_jobs.at(id);
+        return job.record.queue == queue && job.record.repeats == 0
+            && job.state == job_state::pending;
+    };
+    return static_cast<std::size_t>(std::count_if(m_open.begin(), m_open.end(), counts));
+}
+
+std::vector<job_id> job_table::endedBefore(boot_time limit) const
+{
+    std::vector<job_id> ended;
+    for (const auto &[id, job] : m_jobs) {
+        if (isFinal(job.state) && !job.dirty && job.endedAt < limit)
+            ended.push_back(id);
+    }
+    return ended;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/orders.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <azurelb/jobs/task_id.hpp>
+#include <azurelb/scheduling/fwd.hpp>
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azurelb {
+
+/** Start of a run on an executor. */
+struct start_order
+{
+    executor_id executor{};
+    task_id task{};
+    run_number run{0};
+    std::string spec{};
+    std::string checkpoint{};
+    /** End of the lease by the executor's clock. */
+    std::chrono::milliseconds leaseEnd{0};
+};
+
+/** Stop of a run. An executor that has not seen the run yet will not start it afterwards. */
+struct stop_order
+{
+    executor_id executor{};
+    task_id task{};
+    run_number run{0};
+};
+
+/** Share of the processor time that a backfill run may use. */
+struct pace_order
+{
+    executor_id executor{};
+    task_id task{};
+    run_number run{0};
+    int percent{100};
+};
+
+using executor_order = std::variant<start_order, stop_order, pace_order>;
+using executor_orders = std::vector<executor_order>;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/placement.cpp
@@ -0,0 +1,246 @@
+#include <azurelb/scheduling/scheduler.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <tuple>
+
+namespace azurelb {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Lower is better; compared from the left. */
+using placement_cost = std::array<std::int64_t, 4>;
+
+std::size_t countOfStep(const executor_entry &executor, const task_id &like)
+{
+    return static_cast<std::size_t>(std::count_if(
+        executor.assignments.begin(), executor.assignments.end(), [&like](const auto &each) {
+            const task_id &task = each.first;
+            return task.job == like.job && task.occurrence == like.occurrence
+                && task.step == like.step;
+        }));
+}
+
+bool hasLabel(const executor_entry &executor, const std::string &label)
+{
+    const auto &labels = executor.info.labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::size_t countShort(const executor_entry &executor)
+{
+    return static_cast<std::size_t>(
+        std::count_if(executor.assignments.begin(), executor.assignments.end(),
+                      [](const auto &each) { return !each.second.longRunning; }));
+}
+
+/** Estimates of the longest chain through steps that are not done. */
+milliseconds remainingChain(const job_entry &job, const occurrence_entry &occurrence)
+{
+    std::vector<milliseconds> ends;
+    milliseconds longest{0};
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const job_step &step = job.record.steps[index];
+        milliseconds begin{0};
+        for (const std::uint32_t earlier : step.after) {
+            if (earlier < ends.size())
+                begin = std::max(begin, ends[earlier]);
+        }
+        const bool over = occurrence.steps[index].done == occurrence.steps[index].tasks.size();
+        ends.push_back(begin + (over ? milliseconds{0} : step.estimate));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace
+
+bool scheduler::isUsable(const executor_entry &executor, boot_time now) const
+{
+    return executor.registered && executor.enrolled && executor.contacted && !executor.silent
+        && !executor.reserved && !executor.info.draining && now >= executor.suspendedUntil
+        && !m_evacuated.contains(executor.info.zone);
+}
+
+/**
+ * Order of the waiting steps of one pool. Load pattern: turns of five times the mean. While all
+ * can still meet their objective the one with least slack goes first; those that have missed it
+ * wait until the others have room, as completing them late is worth little to their callers.
+ */
+std::vector<scheduler::waiting_step> scheduler::waitingSteps(boot_time now)
+{
+    const bool unaccounted = m_executors.anyUnaccounted(now);
+    std::vector<waiting_step> waiting;
+    for (const job_id &id : m_jobs.open()) {
+        job_entry &job = *m_jobs.find(id);
+        if (job.inherited && unaccounted)
+            continue;
+        for (occurrence_entry &occurrence : job.occurrences) {
+            milliseconds slack{0};
+            for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
+                const step_entry &step = occurrence.steps[index];
+                if (!step.open || step.done + step.assigned >= step.tasks.size())
+                    continue;
+                if (slack.count() == 0)
+                    slack = occurrence.due + job.objective - now - remainingChain(job, occurrence);
+                waiting.push_back({&job, &occurrence, index, slack});
+            }
+        }
+    }
+    const auto rank = [](const waiting_step &each) {
+        const bool lasting = each.job->record.steps[each.step].longRunning;
+        const bool late = !lasting && each.slack.count() < 0;
+        return std::tuple{late, !lasting, each.job->priority, each.slack};
+    };
+    std::sort(waiting.begin(), waiting.end(), [&rank](const auto &left, const auto &right) {
+        return rank(left) < rank(right);
+    });
+    return waiting;
+}
+
+void scheduler::placeWaiting(boot_time now)
+{
+    const std::vector<waiting_step> waiting = waitingSteps(now);
+    if (waiting.empty())
+        return;
+    std::unordered_map<std::string, candidate_list> pools;
+    for (auto &[id, executor] : m_executors.all()) {
+        if (isUsable(executor, now))
+            pools[executor.info.pool].push_back(&executor);
+    }
+    for (const waiting_step &each : waiting) {
+        const auto pool = pools.find(each.job->record.pool);
+        if (pool == pools.end())
+            continue;
+        if (each.job->record.steps[each.step].gang)
+            placeGang(each, pool->second, now);
+        else
+            place(each, pool->second, now);
+    }
+}
+
+void scheduler::place(const waiting_step &step, const candidate_list &candidates, boot_time now)
+{
+    auto &tasks = step.occurrence->steps[step.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].done || tasks[index].assigned)
+            continue;
+        executor_entry *const chosen = choose(step, tasks[index], candidates);
+        if (!chosen)
+            return;
+        start(step, index, *chosen, ++m_lastRun, now);
+    }
+}
+
+/** A gang starts as a whole: its members wait for each other and hold their room meanwhile. */
+void scheduler::placeGang(const waiting_step &step, const candidate_list &candidates,
+                          boot_time now)
+{
+    step_entry &entry = step.occurrence->steps[step.step];
+    if (entry.assigned > 0)
+        return;
+    const run_number run = ++m_lastRun;
+    const std::size_t before = m_orders.size();
+    for (std::uint32_t index = 0; index < entry.tasks.size(); ++index) {
+        executor_entry *const chosen = choose(step, entry.tasks[index], candidates);
+        if (chosen) {
+            start(step, index, *chosen, run, now);
+            continue;
+        }
+        for (std::size_t undone = before; undone < m_orders.size(); ++undone) {
+            const auto &order = std::get<start_order>(m_orders[undone]);
+            drop(*m_executors.find(order.executor), order.task, now);
+        }
+        m_orders.resize(before);
+        return;
+    }
+}
+
+/**
+ * Fills executors one after the other, those with long-running tasks first, so that the others
+ * stay empty and can be moved to a pool that needs them.
+ */
+executor_entry *scheduler::choose(const waiting_step &step, const task_entry &task,
+                                  const candidate_list &candidates) const
+{
+    const job_step &shape = step.job->record.steps[step.step];
+    if (!m_executors.teams().admits(findTeam(m_catalogue, step.job->record.team), shape.request))
+        return nullptr;
+    const resources wanted = reservation(shape);
+    const task_id like{step.job->record.id, step.occurrence->number, step.step, 0};
+    executor_entry *best = nullptr;
+    placement_cost lowest{};
+    for (executor_entry *const each : candidates) {
+        const resources free = each->free();
+        if (!fits(wanted, free) || !hasLabel(*each, shape.requiredLabel))
+            continue;
+        if (shape.mostPerExecutor != 0 && countOfStep(*each, like) >= shape.mostPerExecutor)
+            continue;
+        if (each->failuresInRow >= m_options.suspicionBound && countShort(*each) > 0)
+            continue;
+        const bool far = !shape.preferredRack.empty() && each->rack != shape.preferredRack;
+        const bool failed = !task.lastFailedOn.empty() && task.lastFailedOn == each->info.id;
+        const bool pinned = countShort(*each) < each->assignments.size();
+        const placement_cost cost{failed, far, !pinned,
+                                  shape.backfill ? static_cast<std::int64_t>(each->used.memory)
+                                                 : free.cpu};
+        if (!best || cost < lowest) {
+            best = each;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+void scheduler::start(const waiting_step &step, std::uint32_t index, executor_entry &executor,
+                      run_number run, boot_time now)
+{
+    const job_record &record = step.job->record;
+    const task_id task{record.id, step.occurrence->number, step.step, index};
+    assignment held = makeAssignment(*step.job, record.steps[step.step], run);
+    held.requestedAt = now;
+    m_executors.assign(executor, task, std::move(held));
+    m_jobs.assign(task, executor.info.id);
+    const milliseconds leaseEnd = m_executors.leaseEnd(executor, now);
+    m_executors.noteLease(executor, leaseEnd);
+    m_orders.emplace_back(start_order{executor.info.id, task, run, record.spec,
+                                      m_jobs.find(task)->checkpoint, leaseEnd});
+}
+
+std::unordered_map<std::string, pool_load> scheduler::loads(boot_time now) const
+{
+    std::unordered_map<std::string, pool_load> loads;
+    for (const auto &[id, executor] : m_executors.all()) {
+        if (!isUsable(executor, now))
+            continue;
+        pool_load &load = loads[executor.info.pool];
+        load.capacity += executor.info.capacity;
+        ++load.executors;
+    }
+    for (const job_id &id : m_jobs.open()) {
+        const job_entry &job = *m_jobs.find(id);
+        pool_load &load = loads[job.record.pool];
+        for (const occurrence_entry &occurrence : job.occurrences) {
+            for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+                const step_entry &step = occurrence.steps[index];
+                const job_step &shape = job.record.steps[index];
+                const auto open = static_cast<std::int64_t>(step.tasks.size() - step.done);
+                if (!step.open || open == 0)
+                    continue;
+                const resources each = reservation(shape);
+                const resources all{each.cpu * open, each.memory * open, each.accelerators * open};
+                (shape.longRunning ? load.lasting : load.demand) += all;
+                if (shape.longRunning && shape.mostPerExecutor != 0)
+                    load.spread = std::max(load.spread,
+                                           (step.tasks.size() + shape.mostPerExecutor - 1)
+                                               / shape.mostPerExecutor);
+            }
+        }
+    }
+    return loads;
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/run_end.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <azurelb/scheduling/fwd.hpp>
+
+#include <string_view>
+
+namespace azurelb {
+
+/** How a run ended. */
+enum class run_end {
+    done,
+    /** By its own fault or the executor's. */
+    failed,
+    stopped,
+    lease_expired,
+    /** Another member of its gang ended. */
+    gang_broken,
+    /** It waited too long for the other members of its gang. */
+    gang_incomplete
+};
+
+[[nodiscard]] constexpr std::string_view toString(run_end end) noexcept
+{
+    switch (end) {
+    case run_end::done:
+        return "done";
+    case run_end::failed:
+        return "failed";
+    case run_end::stopped:
+        return "stopped";
+    case run_end::lease_expired:
+        return "lease-expired";
+    case run_end::gang_broken:
+        return "gang-broken";
+    case run_end::gang_incomplete:
+        return "gang-incomplete";
+    }
+    return "invalid";
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <azurelb/catalogue/catalogue.hpp>
+#include <azurelb/core/boot_clock.hpp>
+#include <azurelb/scheduling/executor_table.hpp>
+#include <azurelb/scheduling/job_table.hpp>
+#include <azurelb/scheduling/orders.hpp>
+#include <azurelb/scheduling/pool_load.hpp>
+#include <azurelb/scheduling/start_outcome.hpp>
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace azurelb {
+
+/**
+ * Decides which task runs where. It owns all jobs and executors of a deployment while its process
+ * holds the owner's lease. Pure: time, answers and reports come in, orders go out; the caller
+ * carries the orders and stores the progress of dirty jobs before ends are acknowledged.
+ */
+class scheduler
+{
+public:
+    /** The base of run numbers must be higher than that of every earlier owner. */
+    scheduler(const scheduling_options &options, run_number runBase);
+
+    void apply(const catalogue &config);
+
+    /** Zones in which nothing may start. */
+    void setEvacuated(std::set<std::string> zones) { m_evacuated = std::move(zones); }
+
+    /** Adds an accepted job. Ignored if it is known. */
+    void addJob(const job_record &record, const job_progress &stored, store_revision storedRevision,
+                bool inherited, boot_time acceptedAt);
+
+    /** Cancels a job and stops its runs. */
+    void cancelJob(const job_id &id, boot_time now);
+
+    /** Takes over what an executor says of itself. */
+    void registerExecutor(const executor_registration &info, boot_time now);
+
+    /** The store has no entry of the executor any more; its runs are kept while it answers. */
+    void unregisterExecutor(const executor_id &id);
+
+    /** The life of the executor has ended for certain: all that it ran has ended. */
+    void endExecutor(const executor_id &id, boot_time now);
+
+    /** A report that was asked for at the first and came at the second time. */
+    void observe(const executor_id &id, const executor_report &report, boot_time askedAt,
+                 boot_time now);
+
+    /** A call to the executor got no answer. */
+    void noteSilence(const executor_id &id);
+
+    void noteStart(const start_order &order, start_outcome outcome, boot_time now);
+
+    /** Confirmed is false if no answer came. */
+    void noteStop(const stop_order &order, bool confirmed, boot_time now);
+
+    /** Ends runs whose executor is lost, opens what is due, places what waits. */
+    void advance(boot_time now, std::chrono::milliseconds unixOffset);
+
+    /** Orders since the last call, in the order in which they must be sent to one executor. */
+    [[nodiscard]] executor_orders takeOrders() { return std::exchange(m_orders, {}); }
+
+    /** Executors whose life has ended since the last call. */
+    [[nodiscard]] std::vector<executor_id> takeEnded() { return std::exchange(m_ended, {}); }
+
+    /** Demand and room of each pool. */
+    [[nodiscard]] std::unordered_map<std::string, pool_load> loads(boot_time now) const;
+
+    /** Stops the long-running tasks of a reserved executor that may be unavailable now. */
+    void vacate(const executor_id &id, boot_time now);
+
+    [[nodiscard]] job_table &jobs() noexcept { return m_jobs; }
+    [[nodiscard]] const job_table &jobs() const noexcept { return m_jobs; }
+    [[nodiscard]] executor_table &executors() noexcept { return m_executors; }
+    [[nodiscard]] const executor_table &executors() const noexcept { return m_executors; }
+
+private:
+    /** Tasks of one step that wait for a place. */
+    struct waiting_step
+    {
+        job_entry *job;
+        occurrence_entry *occurrence;
+        std::uint32_t step;
+        /** Time left until the objective once the remaining chain has run. */
+        std::chrono::milliseconds slack;
+    };
+    using candidate_list = std::vector<executor_entry *>;
+
+    void observeRunning(executor_entry &executor, const reported_run &run, boot_time now);
+    void adopt(executor_entry &executor, const reported_run &run, boot_time now);
+    void observeEnds(executor_entry &executor, const executor_report &report, boot_time now);
+    void applyEnd(executor_entry &executor, const ended_run &end, boot_time now);
+    void observeAbsent(executor_entry &executor, const executor_report &report, boot_time askedAt,
+                       boot_time now);
+    void pace(executor_entry &executor, boot_time now);
+    /** Counts failures that point to the executor. */
+    void judge(executor_entry &executor, const ended_run &end, boot_time now);
+    /** Whether planned work may end the run now: not too many of its step are unavailable. */
+    [[nodiscard]] bool mayInterrupt(const task_id &task, const assignment &held, boot_time now);
+    void stopRunsOf(const job_id &id, boot_time now);
+    void stop(executor_entry &executor, const task_id &task, assignment &held, boot_time now);
+    void drop(executor_entry &executor, const task_id &task, boot_time now);
+    void stopStalled(executor_entry &executor, boot_time now);
+    void leaveDraining(executor_entry &executor, boot_time now);
+
+    [[nodiscard]] std::vector<waiting_step> waitingSteps(boot_time now);
+    [[nodiscard]] bool isUsable(const executor_entry &executor, boot_time now) const;
+    void placeWaiting(boot_time now);
+    void place(const waiting_step &step, const candidate_list &candidates, boot_time now);
+    void placeGang(const waiting_step &step, const candidate_list &candidates, boot_time now);
+    [[nodiscard]] executor_entry *choose(const waiting_step &step, const task_entry &task,
+                                         const candidate_list &candidates) const;
+    void start(const waiting_step &step, std::uint32_t index, executor_entry &executor,
+               run_number run, boot_time now);
+
+    scheduling_options m_options;
+    run_number m_lastRun;
+    catalogue m_catalogue{};
+    std::set<std::string> m_evacuated{};
+    job_table m_jobs{};
+    executor_table m_executors;
+    executor_orders m_orders{};
+    std::vector<executor_id> m_ended{};
+};
+
+} // namespace azurelb
