--- /dev/null
+++ b/src/azurelb/capacity/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace azurelb {
+
+struct pool_plan_input;
+struct pool_planner_options;
+struct vm_move;
+struct vm_view;
+struct wave_options;
+struct wave_step;
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/capacity/pool_planner.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <azurelb/capacity/fwd.hpp>
+#include <azurelb/capacity/vm_view.hpp>
+#include <azurelb/core/boot_clock.hpp>
+#include <azurelb/scheduling/pool_load.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace azurelb {
+
+struct pool_planner_options
+{
+    /** Part of the demand of open tasks that a pool is sized for. Runs of a turn end and make
+        room before the last of its tasks could start on a VM that arrives later. */
+    double demandFactor{0.8};
+    /** VMs that a pool keeps between its turns, so that first tasks start at once. */
+    std::size_t leastVms{2};
+    /** A VM without runs for this long may leave. */
+    std::chrono::milliseconds idleTime{300};
+};
+
+/** Demand of one pool and the VMs on their way to it. */
+struct planned_pool
+{
+    std::string name{};
+    bool standby{false};
+    pool_load load{};
+    std::size_t arriving{0};
+};
+
+/** A VM that should go to another pool. */
+struct vm_move
+{
+    std::string vm{};
+    std::string pool{};
+};
+
+/** Number of VMs of the capacity that the pool needs now. */
+[[nodiscard]] std::size_t vmsNeeded(const pool_load &load, const resources &vmCapacity,
+                                    const pool_planner_options &options);
+
+/**
+ * Moves that bring VMs to where the open tasks are. Load pattern: queues that ask five times their
+ * mean by turns, one after the other. VMs without runs go straight from a pool whose turn is over
+ * to the one that lacks most, then come those in standby; what no pool needs is parked, since a
+ * VM in a pool is paid for.
+ */
+[[nodiscard]] std::vector<vm_move> planMoves(const std::vector<planned_pool> &pools,
+                                             const std::vector<vm_view> &vms, boot_time now,
+                                             const pool_planner_options &options);
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/capacity/wave_planner.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <azurelb/capacity/fwd.hpp>
+#include <azurelb/capacity/vm_view.hpp>
+#include <azurelb/catalogue/wave_entry.hpp>
+#include <azurelb/core/boot_clock.hpp>
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurelb {
+
+struct wave_options
+{
+    std::chrono::milliseconds maintenanceTime{2000};
+    /** Time in which the runs of a reserved VM usually end: the longest tasks take 5 s. */
+    std::chrono::milliseconds drainTime{5000};
+    /** Kept back from the deadline. */
+    std::chrono::milliseconds reserve{3000};
+};
+
+/** Where a wave stands. */
+struct wave_progress
+{
+    std::set<std::string> finished{};
+    /** VMs whose maintenance was ordered and that are not seen up again. */
+    std::set<std::string> inMaintenance{};
+};
+
+/** What to do next for a wave. */
+struct wave_step
+{
+    /** Empty VMs whose maintenance begins now. */
+    std::vector<std::string> begin{};
+    /** VMs that get no new runs, so that they become empty. */
+    std::vector<std::string> reserve{};
+    bool completed{false};
+};
+
+/**
+ * Next step of a maintenance wave. VMs that are empty anyway go first; busy ones are reserved in
+ * time for the deadline, those with only long-running tasks before those with short ones.
+ */
+[[nodiscard]] wave_step planWave(const wave_entry &wave, const wave_progress &progress,
+                                 const std::vector<vm_view> &vms, boot_time now,
+                                 const wave_options &options);
+
+} // namespace azurelb
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -58,8 +58,8 @@
 
 } // namespace
 
-owner::owner(services with, const scheduling_options &options, store_revision token,
-             lost_handler onLost)
+owner::owner(services with, const scheduling_options &options,
+             const vm_manager::options &vmOptions, store_revision token, lost_handler onLost)
     : m_with{std::move(with)}
     , m_options{options}
     , m_token{token}
@@ -67,6 +67,13 @@
     , m_scheduler{options, token * runsPerOwner}
     , m_writer{m_with.loop, m_with.store, m_scheduler, token, [this] { stored(); },
                [this] { m_onLost("the key belongs to another owner"); }}
+    , m_vmManager{m_with.loop,
+                  m_with.vms,
+                  m_scheduler,
+                  vmOptions,
+                  [this] { return boot_clock::now() < m_with.confirmedAt() + m_options.ownerTerm; },
+                  m_with.publishWave,
+                  m_onLost}
     , m_advanceTimer{m_with.loop}
     , m_tickTimer{m_with.loop}
 { }
@@ -203,6 +210,7 @@
     m_wishes = wishes;
     m_scheduler.apply(wishes.config);
     m_scheduler.setEvacuated(wishes.evacuatedZones);
+    m_vmManager.apply(wishes);
     admitDeferred();
     kick();
 }
@@ -218,6 +226,7 @@
         if (!m_channels.contains(id))
             ask(id);
     }
+    m_vmManager.start();
     tick();
 }
 
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -6,6 +6,7 @@
 #include <azurelb/control/executor_gateway.hpp>
 #include <azurelb/control/fwd.hpp>
 #include <azurelb/control/progress_writer.hpp>
+#include <azurelb/control/vm_manager.hpp>
 #include <azurelb/keyspace/prefix_follower.hpp>
 #include <azurelb/scheduling/scheduler.hpp>
 
@@ -41,6 +42,7 @@
 public:
     using lost_handler = std::function<void(std::string_view reason)>;
     using confirmed_source = std::function<boot_time()>;
+    using wave_publisher = std::function<void(const wave_entry &)>;
 
     /** Interfaces that an owner works through; they outlive it. */
     struct services
@@ -52,10 +54,12 @@
         executor_directory_factory makeDirectory;
         /** When the last confirmed renewal of the owner's lease was sent. */
         confirmed_source confirmedAt;
+        /** Tells the operators where a wave stands. */
+        wave_publisher publishWave;
     };
 
-    owner(services with, const scheduling_options &options, store_revision token,
-          lost_handler onLost);
+    owner(services with, const scheduling_options &options,
+          const vm_manager::options &vmOptions, store_revision token, lost_handler onLost);
     owner(const owner &) = delete;
     owner &operator=(const owner &) = delete;
     ~owner();
@@ -110,6 +114,7 @@
     lost_handler m_onLost;
     scheduler m_scheduler;
     progress_writer m_writer;
+    vm_manager m_vmManager;
     std::unique_ptr<prefix_follower> m_jobs;
     std::unique_ptr<executor_directory> m_directory;
     std::unordered_map<executor_id, executor_registration> m_registered{};
--- /dev/null
+++ b/src/azurelb/control/vm_manager.cpp
@@ -0,0 +1,270 @@
+#include <azurelb/control/owner.hpp>
+#include <azurelb/control/vm_manager.hpp>
+#include <azurelb/log/log.hpp>
+#include <azurelb/scheduling/scheduler.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azurelb {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Interval of planning: a tenth of a move's time. */
+constexpr milliseconds planInterval{150};
+/** Interval of reading the list of VMs, while something is under way and otherwise. */
+constexpr milliseconds busyListInterval{400};
+constexpr milliseconds idleListInterval{1500};
+/** An order without effect in the list after this time, and the order's own, has failed. */
+constexpr milliseconds settleTime{1500};
+
+std::string moveKey(const std::string &vm, const std::string &pool)
+{
+    return vm + '>' + pool;
+}
+
+} // namespace
+
+vm_manager::vm_manager(boost::asio::io_context &loop, vm_service &service, scheduler &runs,
+                       const options &with, permission mayOrder, wave_handler onWave,
+                       lost_handler onLost)
+    : m_loop{loop}
+    , m_service{service}
+    , m_scheduler{runs}
+    , m_options{with}
+    , m_mayOrder{std::move(mayOrder)}
+    , m_onWave{std::move(onWave)}
+    , m_onLost{std::move(onLost)}
+    , m_timer{loop}
+{ }
+
+void vm_manager::start()
+{
+    m_begunAt = boot_clock::now();
+    tick();
+}
+
+void vm_manager::apply(const operator_wishes &wishes)
+{
+    m_pools = wishes.config.pools;
+    m_evacuated = wishes.evacuatedZones;
+    for (const wave_entry &each : wishes.waves)
+        m_waves.try_emplace(each.number, each);
+}
+
+void vm_manager::tick()
+{
+    const boot_time now = boot_clock::now();
+    const bool busy = !m_orders.empty();
+    if (!m_listing && now - m_listedAt >= (busy ? busyListInterval : idleListInterval))
+        readList();
+    if (m_mayOrder() && now - m_begunAt >= m_options.vmLease && !m_vms.empty())
+        plan();
+    m_timer.expires_after(planInterval);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled)
+            tick();
+    });
+}
+
+void vm_manager::readList()
+{
+    m_listing = true;
+    m_service.list([this, alive = std::weak_ptr<bool>{m_alive}](vm_listing &&listing) {
+        if (!alive.expired())
+            takeList(std::move(listing));
+    });
+}
+
+void vm_manager::takeList(vm_listing &&listing)
+{
+    m_listing = false;
+    const boot_time now = boot_clock::now();
+    m_listedAt = now;
+    if (!listing.ok) {
+        logEvent(event::vm_list_unreachable);
+        return;
+    }
+    m_vms = std::move(listing.vms);
+    for (const vm_entry &each : m_vms)
+        settle(each, now);
+}
+
+/** Compares an order with what the list shows. */
+void vm_manager::settle(const vm_entry &vm, boot_time now)
+{
+    const auto found = m_orders.find(vm.vm);
+    if (found == m_orders.end())
+        return;
+    const pending_order &order = found->second;
+    const bool changed = vm.executor != order.executor && vm.state == vm_state::up;
+    const milliseconds usual =
+        order.wave == 0 ? m_options.moveTime : m_options.waves.maintenanceTime;
+    const bool expired = vm.state == vm_state::up && now - order.at > usual + settleTime;
+    if (!(changed && order.answered) && !expired)
+        return;
+    if (order.wave != 0) {
+        wave_progress &progress = m_progress[order.wave];
+        progress.inMaintenance.erase(vm.vm);
+        if (changed || order.answered)
+            progress.finished.insert(vm.vm);
+    }
+    if (!changed)
+        reserve(vm.vm, false);
+    m_orders.erase(found);
+}
+
+const vm_entry *vm_manager::find(const std::string &vm) const
+{
+    const auto found = std::find_if(m_vms.begin(), m_vms.end(),
+                                    [&vm](const vm_entry &each) { return each.vm == vm; });
+    return found == m_vms.end() ? nullptr : &*found;
+}
+
+std::vector<vm_view> vm_manager::view() const
+{
+    std::vector<vm_view> views;
+    for (const vm_entry &each : m_vms) {
+        vm_view made;
+        made.vm = each.vm;
+        made.pool = each.pool;
+        made.zone = each.zone;
+        made.executor = each.executor;
+        made.capacity = each.capacity;
+        made.up = each.state == vm_state::up;
+        made.excluded = m_evacuated.contains(each.zone);
+        made.ordered = m_orders.contains(each.vm);
+        const executor_entry *const executor = m_scheduler.executors().find(each.executor);
+        if (executor) {
+            made.usable = executor->contacted && !executor->silent;
+            made.excluded = made.excluded || executor->info.draining || executor->silent;
+            made.reserved = executor->reserved;
+            made.idleSince = executor->idleSince;
+            for (const auto &[task, held] : executor->assignments)
+                ++(held.longRunning ? made.longRuns : made.shortRuns);
+        }
+        views.push_back(std::move(made));
+    }
+    return views;
+}
+
+void vm_manager::plan()
+{
+    const boot_time now = boot_clock::now();
+    planWaves(view(), now);
+    planPools(view(), now);
+}
+
+void vm_manager::planWaves(const std::vector<vm_view> &vms, boot_time now)
+{
+    for (auto &[number, wave] : m_waves) {
+        if (wave.completed)
+            continue;
+        const wave_step step = planWave(wave, m_progress[number], vms, now, m_options.waves);
+        for (const std::string &each : step.reserve)
+            reserve(each, true);
+        for (const std::string &each : step.begin)
+            maintain(each, number);
+        for (const vm_view &each : vms) {
+            if (each.reserved && each.longRuns > 0)
+                m_scheduler.vacate(each.executor, now);
+        }
+        if (step.completed) {
+            wave.completed = true;
+            logEvent(event::wave_completed, {{"wave", number}});
+            m_onWave(wave);
+        }
+    }
+}
+
+void vm_manager::planPools(const std::vector<vm_view> &vms, boot_time now)
+{
+    const auto loads = m_scheduler.loads(now);
+    std::vector<planned_pool> pools;
+    for (const pool_entry &each : m_pools) {
+        planned_pool pool{each.name, each.standby, {}, 0};
+        const auto found = loads.find(each.name);
+        if (found != loads.end())
+            pool.load = found->second;
+        pool.arriving = static_cast<std::size_t>(
+            std::count_if(m_orders.begin(), m_orders.end(),
+                          [&each](const auto &order) { return order.second.pool == each.name; }));
+        pools.push_back(std::move(pool));
+    }
+    for (const vm_move &each : planMoves(pools, vms, now, m_options.pools)) {
+        if (!m_refusedMoves.contains(moveKey(each.vm, each.pool)))
+            move(each.vm, each.pool);
+    }
+}
+
+void vm_manager::reserve(const std::string &vm, bool reserved)
+{
+    const vm_entry *const entry = find(vm);
+    executor_entry *const executor =
+        entry ? m_scheduler.executors().find(entry->executor) : nullptr;
+    if (executor)
+        executor->reserved = reserved;
+}
+
+void vm_manager::maintain(const std::string &vm, std::int64_t wave)
+{
+    const vm_entry *const entry = find(vm);
+    if (!entry || m_orders.contains(vm))
+        return;
+    reserve(vm, true);
+    m_orders[vm] = {entry->pool, entry->executor, boot_clock::now(), false, wave};
+    m_progress[wave].inMaintenance.insert(vm);
+    logEvent(event::vm_maintenance_ordered, {{"target", vm}, {"wave", wave}});
+    m_service.maintain(vm, wave, [this, vm, alive = std::weak_ptr<bool>{m_alive}](
+                                     vm_order_outcome outcome) {
+        if (!alive.expired())
+            ordered(vm, outcome);
+    });
+}
+
+void vm_manager::move(const std::string &vm, const std::string &pool)
+{
+    const vm_entry *const entry = find(vm);
+    if (!entry || m_orders.contains(vm))
+        return;
+    reserve(vm, true);
+    m_orders[vm] = {pool, entry->executor, boot_clock::now(), false, 0};
+    logEvent(event::vm_move_ordered, {{"target", vm}, {"from", entry->pool}, {"pool", pool}});
+    m_service.move(vm, pool, [this, vm, alive = std::weak_ptr<bool>{m_alive}](
+                                 vm_order_outcome outcome) {
+        if (!alive.expired())
+            ordered(vm, outcome);
+    });
+}
+
+void vm_manager::ordered(const std::string &vm, vm_order_outcome outcome)
+{
+    const auto found = m_orders.find(vm);
+    if (found == m_orders.end())
+        return;
+    pending_order &order = found->second;
+    if (outcome == vm_order_outcome::done) {
+        order.answered = true;
+        m_scheduler.endExecutor(order.executor, boot_clock::now());
+        return;
+    }
+    logEvent(event::vm_order_failed, {{"target", vm}, {"wave", order.wave}});
+    if (outcome == vm_order_outcome::unknown)
+        return;
+    if (outcome == vm_order_outcome::fenced) {
+        m_onLost("a newer owner has ordered for a VM");
+        return;
+    }
+    wave_progress &progress = m_progress[order.wave];
+    progress.inMaintenance.erase(vm);
+    if (outcome == vm_order_outcome::refused && order.wave != 0)
+        progress.finished.insert(vm);
+    else if (outcome == vm_order_outcome::refused)
+        m_refusedMoves.insert(moveKey(vm, order.pool));
+    reserve(vm, false);
+    m_orders.erase(found);
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/control/vm_manager.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <azurelb/capacity/pool_planner.hpp>
+#include <azurelb/capacity/wave_planner.hpp>
+#include <azurelb/catalogue/pool_entry.hpp>
+#include <azurelb/catalogue/wave_entry.hpp>
+#include <azurelb/control/vm_service.hpp>
+#include <azurelb/core/boot_clock.hpp>
+#include <azurelb/scheduling/fwd.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace azurelb {
+
+struct operator_wishes;
+
+/**
+ * Planned work on VMs: moves between pools and maintenance waves. It orders only for VMs whose
+ * executor has no runs, so that nothing is interrupted, and settles orders of unknown outcome by
+ * the platform's list.
+ */
+class vm_manager
+{
+public:
+    /** Times of the deployment. */
+    struct options
+    {
+        pool_planner_options pools{};
+        wave_options waves{};
+        /** No order is given so long after the owner began: an earlier one may have ordered. */
+        std::chrono::milliseconds vmLease{3000};
+        std::chrono::milliseconds moveTime{1500};
+    };
+
+    using wave_handler = std::function<void(const wave_entry &)>;
+    using lost_handler = std::function<void(std::string_view reason)>;
+    using permission = std::function<bool()>;
+
+    /** The permission tells whether the owner's lease is confirmed within its term. */
+    vm_manager(boost::asio::io_context &loop, vm_service &service, scheduler &runs,
+               const options &with, permission mayOrder, wave_handler onWave, lost_handler onLost);
+
+    void start();
+    void apply(const operator_wishes &wishes);
+
+private:
+    /** An order whose effect has not been seen yet. */
+    struct pending_order
+    {
+        std::string pool{};
+        executor_id executor{};
+        boot_time at{};
+        bool answered{false};
+        /** 0 for a move. */
+        std::int64_t wave{0};
+    };
+
+    void tick();
+    void readList();
+    void takeList(vm_listing &&listing);
+    void settle(const vm_entry &vm, boot_time now);
+    void plan();
+    void planWaves(const std::vector<vm_view> &vms, boot_time now);
+    void planPools(const std::vector<vm_view> &vms, boot_time now);
+    [[nodiscard]] std::vector<vm_view> view() const;
+    void reserve(const std::string &vm, bool reserved);
+    void maintain(const std::string &vm, std::int64_t wave);
+    void move(const std::string &vm, const std::string &pool);
+    void ordered(const std::string &vm, vm_order_outcome outcome);
+    [[nodiscard]] const vm_entry *find(const std::string &vm) const;
+
+    boost::asio::io_context &m_loop;
+    vm_service &m_service;
+    scheduler &m_scheduler;
+    options m_options;
+    permission m_mayOrder;
+    wave_handler m_onWave;
+    lost_handler m_onLost;
+    boost::asio::steady_timer m_timer;
+    boot_time m_begunAt{};
+    boot_time m_listedAt{};
+    bool m_listing{false};
+    std::vector<vm_entry> m_vms{};
+    std::unordered_map<std::string, pending_order> m_orders{};
+    std::map<std::int64_t, wave_entry> m_waves{};
+    std::map<std::int64_t, wave_progress> m_progress{};
+    std::vector<pool_entry> m_pools{};
+    std::set<std::string> m_evacuated{};
+    /** VMs that the platform does not allow in a pool. */
+    std::set<std::string> m_refusedMoves{};
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
+};
+
+} // namespace azurelb
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -51,6 +51,12 @@
     return found == m_executors.end() ? nullptr : &found->second;
 }
 
+const executor_entry *executor_table::find(const executor_id &id) const noexcept
+{
+    const auto found = m_executors.find(id);
+    return found == m_executors.end() ? nullptr : &found->second;
+}
+
 assignment *executor_table::find(const executor_id &id, const task_id &task) noexcept
 {
     executor_entry *const executor = find(id);
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -22,6 +22,7 @@
     executor_entry &insert(const executor_registration &info, boot_time now);
 
     [[nodiscard]] executor_entry *find(const executor_id &id) noexcept;
+    [[nodiscard]] const executor_entry *find(const executor_id &id) const noexcept;
     [[nodiscard]] assignment *find(const executor_id &id, const task_id &task) noexcept;
     void erase(const executor_id &id);
 
