Only inherited executors hold back inherited jobs; wave progress is stored

A new owner also began each wave anew. Ruled out: the takeover itself (owner ready 0.04 s after its election in the log). Long-running tasks are spread as well, so that one loss stays within what a step may miss.

--- a/src/azurelb/capacity/wave_planner.hpp
+++ b/src/azurelb/capacity/wave_planner.hpp
@@ -2,11 +2,11 @@
 
 #include <azurelb/capacity/fwd.hpp>
 #include <azurelb/capacity/vm_view.hpp>
+#include <azurelb/capacity/wave_progress.hpp>
 #include <azurelb/catalogue/wave_entry.hpp>
 #include <azurelb/core/boot_clock.hpp>
 
 #include <chrono>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -21,14 +21,6 @@
     std::chrono::milliseconds reserve{3000};
 };
 
-/** Where a wave stands. */
-struct wave_progress
-{
-    std::set<std::string> finished{};
-    /** VMs whose maintenance was ordered and that are not seen up again. */
-    std::set<std::string> inMaintenance{};
-};
-
 /** What to do next for a wave. */
 struct wave_step
 {
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -56,6 +56,11 @@
     return job_id{key};
 }
 
+std::string lifeOf(const executor_id &id, std::int64_t born)
+{
+    return id + '/' + std::to_string(born);
+}
+
 } // namespace
 
 owner::owner(services with, const scheduling_options &options,
@@ -72,7 +77,9 @@
                   m_scheduler,
                   vmOptions,
                   [this] { return boot_clock::now() < m_with.confirmedAt() + m_options.ownerTerm; },
-                  m_with.publishWave,
+                  [this](const wave_entry &wave, const wave_progress &progress) {
+                      storeWave(wave, progress);
+                  },
                   m_onLost}
     , m_advanceTimer{m_with.loop}
     , m_tickTimer{m_with.loop}
@@ -89,7 +96,9 @@
     m_with.executors.setToken(m_token);
     m_with.vms.setToken(m_token);
     load(std::string{store_keys::progress}, {}, [this] {
-        load(std::string{store_keys::executors}, {}, [this] { follow(); });
+        load(std::string{store_keys::executors}, {}, [this] {
+            load(std::string{store_keys::waves}, {}, [this] { follow(); });
+        });
     });
 }
 
@@ -129,14 +138,16 @@
             logEvent(event::stored_value_damaged, {{"key", key}});
         return;
     }
+    if (key.starts_with(store_keys::waves)) {
+        m_vmManager.restore(decodeWaveProgress(item.value));
+        return;
+    }
     const auto info = decodeRoster(item.value);
     if (!info) {
         logEvent(event::stored_value_damaged, {{"key", key}});
         return;
     }
-    m_scheduler.registerExecutor(*info, boot_clock::now());
-    m_scheduler.unregisterExecutor(info->id);
-    m_scheduler.executors().find(info->id)->enrolled = true;
+    m_scheduler.inheritExecutor(*info, boot_clock::now());
 }
 
 void owner::follow()
@@ -233,6 +244,8 @@
 void owner::seen(const executor_registration &info)
 {
     m_registered[info.id] = info;
+    if (m_endedLives.contains(lifeOf(info.id, info.born)))
+        return;
     const executor_entry *const known = m_scheduler.executors().find(info.id);
     if (known && known->info.address != info.address) {
         m_with.executors.forget(info.id);
@@ -380,6 +393,10 @@
         return;
     m_scheduler.advance(boot_clock::now(), unixOffset());
     carry();
+    for (const executor_life &each : m_scheduler.takeEnded()) {
+        m_endedLives.insert(lifeOf(each.executor, each.born));
+        m_writer.removeExecutor(each.executor);
+    }
     m_writer.kick();
 }
 
@@ -461,6 +478,27 @@
     });
 }
 
+/** The operators are told after it is stored, so that a later owner does not begin anew. */
+void owner::storeWave(const wave_entry &wave, const wave_progress &progress)
+{
+    const keyspace_write write{
+        {{std::string{store_keys::owner}, m_token}},
+        {{store_keys::wave(wave.number), encodeWaveProgress(wave.number, progress), 0}},
+        {}};
+    m_with.store.commit(write, [this, wave, progress, alive = std::weak_ptr<bool>{m_alive}](
+                                   keyspace_commit &&outcome) {
+        if (alive.expired())
+            return;
+        if (outcome.error == keyspace_error::none) {
+            m_with.publishWave(wave);
+            return;
+        }
+        logEvent(event::progress_not_stored,
+                 {{"error", toString(outcome.error)}, {"wave", wave.number}});
+        m_vmManager.reportAgain(wave.number);
+    });
+}
+
 void owner::publishWaiting()
 {
     json::object counts;
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -104,6 +104,7 @@
     void stored();
     void tick();
     void publishWaiting();
+    void storeWave(const wave_entry &wave, const wave_progress &progress);
     void removeExpired();
     [[nodiscard]] bool mayOrder() const;
     [[nodiscard]] std::chrono::milliseconds unixOffset() const;
@@ -119,6 +120,8 @@
     std::unique_ptr<executor_directory> m_directory;
     std::unordered_map<executor_id, executor_registration> m_registered{};
     std::unordered_map<executor_id, std::unique_ptr<channel>> m_channels{};
+    /** Lives that have ended although the directory still lists them. */
+    std::set<std::string> m_endedLives{};
     /** Progress that was stored by earlier owners, until its job is added. */
     struct stored_progress
     {
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -67,6 +67,13 @@
     kick();
 }
 
+void progress_writer::removeExecutor(const executor_id &id)
+{
+    // It may have been registered again meanwhile.
+    if (!m_scheduler.executors().find(id))
+        remove({store_keys::executor(id)});
+}
+
 void progress_writer::flush()
 {
     m_armed = false;
@@ -111,11 +118,6 @@
             m_units.push_back(
                 {{{}, {{store_keys::executor(id), encodeRoster(executor.info), 0}}, {}}, {}, id});
     }
-    for (const executor_id &id : m_scheduler.takeEnded()) {
-        // It may have been registered again meanwhile.
-        if (!m_scheduler.executors().find(id))
-            m_units.push_back({{{}, {}, {store_keys::executor(id)}}, {}, {}});
-    }
 }
 
 void progress_writer::writeNext()
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -35,6 +35,9 @@
     /** Something may have to be stored: does so within the grouping time. */
     void kick();
 
+    /** No run of this owner is on the executor any more. */
+    void removeExecutor(const executor_id &id);
+
     /** Keys of jobs that are no longer kept. */
     void remove(const std::vector<std::string> &keys);
 
--- a/src/azurelb/control/store_keys.hpp
+++ b/src/azurelb/control/store_keys.hpp
@@ -3,6 +3,7 @@
 #include <azurelb/jobs/fwd.hpp>
 #include <azurelb/scheduling/fwd.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,8 @@
 inline constexpr std::string_view executors{"azurelb/executor/"};
 /** Jobs that wait in each queue, as the owner last published them. */
 inline constexpr std::string_view waiting{"azurelb/waiting"};
+/** VMs of each wave that had their maintenance. */
+inline constexpr std::string_view waves{"azurelb/wave/"};
 inline constexpr std::string_view recordSuffix{"/record"};
 inline constexpr std::string_view cancelSuffix{"/cancel"};
 
@@ -35,6 +38,11 @@
     return std::string{progress} + id;
 }
 
+[[nodiscard]] inline std::string wave(std::int64_t number)
+{
+    return std::string{waves} + std::to_string(number);
+}
+
 [[nodiscard]] inline std::string executor(const executor_id &id)
 {
     return std::string{executors} + id;
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -50,8 +50,20 @@
 {
     m_pools = wishes.config.pools;
     m_evacuated = wishes.evacuatedZones;
-    for (const wave_entry &each : wishes.waves)
-        m_waves.try_emplace(each.number, each);
+    for (const wave_entry &each : wishes.waves) {
+        if (m_waves.try_emplace(each.number, each).second)
+            m_unreported.insert(each.number);
+    }
+}
+
+void vm_manager::restore(const numbered_wave_progress &stored)
+{
+    m_progress[stored.number] = stored.progress;
+}
+
+void vm_manager::reportAgain(std::int64_t wave)
+{
+    m_unreported.insert(wave);
 }
 
 void vm_manager::tick()
@@ -110,6 +122,7 @@
         progress.inMaintenance.erase(vm.vm);
         if (changed || order.answered)
             progress.finished.insert(vm.vm);
+        m_unreported.insert(order.wave);
     }
     if (!changed)
         reserve(vm.vm, false);
@@ -173,10 +186,12 @@
         }
         if (step.completed) {
             wave.completed = true;
+            m_unreported.insert(number);
             logEvent(event::wave_completed, {{"wave", number}});
-            m_onWave(wave);
         }
     }
+    for (const std::int64_t number : std::exchange(m_unreported, {}))
+        m_onWave(m_waves.at(number), m_progress[number]);
 }
 
 void vm_manager::planPools(const std::vector<vm_view> &vms, boot_time now)
@@ -247,6 +262,8 @@
     pending_order &order = found->second;
     if (outcome == vm_order_outcome::done) {
         order.answered = true;
+        if (order.wave != 0)
+            m_progress[order.wave].finished.insert(vm);
         m_scheduler.endExecutor(order.executor, boot_clock::now());
         return;
     }
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -43,7 +43,8 @@
         std::chrono::milliseconds moveTime{1500};
     };
 
-    using wave_handler = std::function<void(const wave_entry &)>;
+    /** Told whenever a wave has advanced. */
+    using wave_handler = std::function<void(const wave_entry &, const wave_progress &)>;
     using lost_handler = std::function<void(std::string_view reason)>;
     using permission = std::function<bool()>;
 
@@ -54,6 +55,12 @@
     void start();
     void apply(const operator_wishes &wishes);
 
+    /** Takes over what an earlier owner has stored of a wave. */
+    void restore(const numbered_wave_progress &stored);
+
+    /** The last report of the wave's progress had no effect. */
+    void reportAgain(std::int64_t wave);
+
 private:
     /** An order whose effect has not been seen yet. */
     struct pending_order
@@ -95,6 +102,8 @@
     std::unordered_map<std::string, pending_order> m_orders{};
     std::map<std::int64_t, wave_entry> m_waves{};
     std::map<std::int64_t, wave_progress> m_progress{};
+    /** Waves whose progress is to be reported. */
+    std::set<std::int64_t> m_unreported{};
     std::vector<pool_entry> m_pools{};
     std::set<std::string> m_evacuated{};
     /** VMs that the platform does not allow in a pool. */
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -63,6 +63,8 @@
     bool registered{true};
     /** The store knows that this owner may have runs here, so that a successor asks for them. */
     bool enrolled{false};
+    /** An earlier owner may have runs here. */
+    bool inherited{false};
     /** It has answered this owner, so that orders of an earlier one have no effect. */
     bool contacted{false};
     /** Its last call failed. */
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -111,7 +111,7 @@
 {
     return std::any_of(m_executors.begin(), m_executors.end(), [now](const auto &each) {
         const executor_entry &executor = each.second;
-        return executor.enrolled && !executor.contacted && now < executor.leaseBound;
+        return executor.inherited && !executor.contacted && now < executor.leaseBound;
     });
 }
 
--- a/src/azurelb/scheduling/fwd.hpp
+++ b/src/azurelb/scheduling/fwd.hpp
@@ -10,6 +10,7 @@
 struct assignment;
 struct ended_run;
 struct executor_entry;
+struct executor_life;
 struct executor_registration;
 struct executor_report;
 struct job_entry;
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** Lower is better; compared from the left. */
-using placement_cost = std::array<std::int64_t, 4>;
+using placement_cost = std::array<std::int64_t, 5>;
 
 std::size_t countOfStep(const executor_entry &executor, const task_id &like)
 {
@@ -183,8 +183,11 @@
             continue;
         const bool far = !shape.preferredRack.empty() && each->rack != shape.preferredRack;
         const bool failed = !task.lastFailedOn.empty() && task.lastFailedOn == each->info.id;
+        // The loss of one executor must not make more of a step unavailable than it may miss.
+        const bool crowded = shape.longRunning
+            && countOfStep(*each, like) >= std::max<std::size_t>(shape.maxUnavailable, 1);
         const bool pinned = countShort(*each) < each->assignments.size();
-        const placement_cost cost{failed, far, !pinned,
+        const placement_cost cost{failed, crowded, far, !pinned,
                                   shape.backfill ? static_cast<std::int64_t>(each->used.memory)
                                                  : free.cpu};
         if (!best || cost < lowest) {
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -78,6 +78,14 @@
     m_executors.insert(info, now);
 }
 
+void scheduler::inheritExecutor(const executor_registration &info, boot_time now)
+{
+    executor_entry &executor = m_executors.insert(info, now);
+    executor.inherited = true;
+    executor.enrolled = true;
+    executor.registered = false;
+}
+
 void scheduler::unregisterExecutor(const executor_id &id)
 {
     if (executor_entry *const executor = m_executors.find(id))
@@ -94,8 +102,8 @@
         held.push_back(task);
     for (const task_id &task : held)
         drop(*executor, task, now);
+    m_ended.push_back({id, executor->info.born});
     m_executors.erase(id);
-    m_ended.push_back(id);
 }
 
 void scheduler::drop(executor_entry &executor, const task_id &task, boot_time now)
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include <azurelb/catalogue/catalogue.hpp>
 #include <azurelb/core/boot_clock.hpp>
+#include <azurelb/scheduling/executor_life.hpp>
 #include <azurelb/scheduling/executor_table.hpp>
 #include <azurelb/scheduling/job_table.hpp>
 #include <azurelb/scheduling/orders.hpp>
@@ -43,6 +44,9 @@
     /** Takes over what an executor says of itself. */
     void registerExecutor(const executor_registration &info, boot_time now);
 
+    /** Takes over an executor on which an earlier owner may have runs. */
+    void inheritExecutor(const executor_registration &info, boot_time now);
+
     /** The store has no entry of the executor any more; its runs are kept while it answers. */
     void unregisterExecutor(const executor_id &id);
 
@@ -68,7 +72,7 @@
     [[nodiscard]] executor_orders takeOrders() { return std::exchange(m_orders, {}); }
 
     /** Executors whose life has ended since the last call. */
-    [[nodiscard]] std::vector<executor_id> takeEnded() { return std::exchange(m_ended, {}); }
+    [[nodiscard]] std::vector<executor_life> takeEnded() { return std::exchange(m_ended, {}); }
 
     /** Demand and room of each pool. */
     [[nodiscard]] std::unordered_map<std::string, pool_load> loads(boot_time now) const;
@@ -127,7 +131,7 @@
     job_table m_jobs{};
     executor_table m_executors;
     executor_orders m_orders{};
-    std::vector<executor_id> m_ended{};
+    std::vector<executor_life> m_ended{};
 };
 
 } // namespace azurelb
