--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -200,6 +200,17 @@
     }
 }
 
+void job_table::openReported(const task_id &task)
+{
+    job_entry *const job = find(task.job);
+    if (!job || isFinal(job->state) || task.occurrence >= occurrenceCount(job->record)
+        || findOccurrence(*job, task.occurrence))
+        return;
+    const auto &completed = job->completedOccurrences;
+    if (std::find(completed.begin(), completed.end(), task.occurrence) == completed.end())
+        openOccurrence(*job, task.occurrence, job->acceptedAt);
+}
+
 std::optional<boot_time> job_table::nextDue(milliseconds unixOffset) const
 {
     std::optional<boot_time> next;
--- a/src/azurelb/scheduling/job_table.hpp
+++ b/src/azurelb/scheduling/job_table.hpp
@@ -55,6 +55,12 @@
     /** Opens the occurrences that are due. The offset leads from boot time to Unix time. */
     void openDue(boot_time now, std::chrono::milliseconds unixOffset);
 
+    /**
+     * Opens the occurrence of a task that an executor reports: an earlier owner found it due. Its
+     * reports may arrive before this owner's first decision, or by a clock that is ahead of ours.
+     */
+    void openReported(const task_id &task);
+
     /** When the next occurrence comes due; nothing if none will. */
     [[nodiscard]] std::optional<boot_time> nextDue(std::chrono::milliseconds unixOffset) const;
 
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -137,6 +137,10 @@
     executor->clockAt = now;
     executor->contacted = true;
     executor->silent = false;
+    for (const ended_run &each : report.ended)
+        m_jobs.openReported(each.task);
+    for (const reported_run &each : report.running)
+        m_jobs.openReported(each.task);
     observeEnds(*executor, report, now);
     for (const reported_run &each : report.running)
         observeRunning(*executor, each, now);
