--- a/src/azurelb/capacity/vm_view.hpp
+++ b/src/azurelb/capacity/vm_view.hpp
@@ -17,10 +17,8 @@
     std::string zone{};
     executor_id executor{};
     resources capacity{};
-    /** The platform lists it as up. */
+    /** The platform lists it as up, and its executor answers or it is in standby. */
     bool up{false};
-    /** Its executor takes new runs, but for a reservation. */
-    bool usable{false};
     /** Its zone is evacuated or it leaves. */
     bool excluded{false};
     /** An order for it is under way, or its last one has not shown its effect. */
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -32,6 +32,9 @@
 /** Pause before an executor that did not answer is asked again, times the failures in a row. */
 constexpr milliseconds silentPause{120};
 constexpr unsigned mostPauses{6};
+/** While ends cannot be stored the executor is asked at this interval all the same, so that the
+    lease of its other runs is renewed. */
+constexpr milliseconds unstoredPause{400};
 /** Interval of the published count of waiting jobs, which may be two seconds old. */
 constexpr milliseconds publishInterval{500};
 /** How long a job that is over can be asked for: the platform's 120 s and a margin. */
@@ -340,7 +343,7 @@
         return;
     }
     if (reply.outcome == report_outcome::silent) {
-        if (to.failures == 0)
+        if (to.failures == 0 && m_scheduler.executors().find(id))
             logEvent(event::executor_silent, {{"executor", id}});
         to.failures = std::min(to.failures + 1, mostPauses);
         to.restartNumbers = true;
@@ -354,10 +357,12 @@
     m_scheduler.observe(id, reply.report, askedAt, now);
     kick();
     const executor_entry *const executor = m_scheduler.executors().find(id);
-    if (executor && executor->processedEnds > executor->storedEnds)
+    if (executor && executor->processedEnds > executor->storedEnds) {
         m_writer.kick();
-    else
+        askLater(id, unstoredPause);
+    } else {
         ask(id);
+    }
 }
 
 void owner::stored()
@@ -443,7 +448,8 @@
         return;
     logEvent(event::run_stop_ordered, {{"task", toString(order.task)},
                                        {"run", order.run},
-                                       {"executor", order.executor}});
+                                       {"executor", order.executor},
+                                       {"reason", toString(order.reason)}});
     m_with.executors.stop(executor->info.address, order,
                           [this, order, alive = std::weak_ptr<bool>{m_alive}](
                               start_outcome outcome) {
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -136,6 +136,13 @@
     return found == m_vms.end() ? nullptr : &*found;
 }
 
+bool vm_manager::isStandby(const std::string &pool) const
+{
+    return std::any_of(m_pools.begin(), m_pools.end(), [&pool](const pool_entry &each) {
+        return each.standby && each.name == pool;
+    });
+}
+
 std::vector<vm_view> vm_manager::view() const
 {
     std::vector<vm_view> views;
@@ -146,13 +153,14 @@
         made.zone = each.zone;
         made.executor = each.executor;
         made.capacity = each.capacity;
-        made.up = each.state == vm_state::up;
+        // Only of an executor that answers is it known that it has no runs.
+        const executor_entry *const executor = m_scheduler.executors().find(each.executor);
+        const bool answers = executor && executor->contacted && !executor->silent;
+        made.up = each.state == vm_state::up && (answers || isStandby(each.pool));
         made.excluded = m_evacuated.contains(each.zone);
         made.ordered = m_orders.contains(each.vm);
-        const executor_entry *const executor = m_scheduler.executors().find(each.executor);
         if (executor) {
-            made.usable = executor->contacted && !executor->silent;
-            made.excluded = made.excluded || executor->info.draining || executor->silent;
+            made.excluded = made.excluded || executor->info.draining;
             made.reserved = executor->reserved;
             made.idleSince = executor->idleSince;
             for (const auto &[task, held] : executor->assignments)
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -4,6 +4,7 @@
 #include <azurelb/jobs/task_id.hpp>
 #include <azurelb/scheduling/executor_registration.hpp>
 #include <azurelb/scheduling/fwd.hpp>
+#include <azurelb/scheduling/stop_reason.hpp>
 
 #include <chrono>
 #include <string>
@@ -40,6 +41,7 @@
     /** When the phase was confirmed; reports asked for later must show the run. */
     boot_time confirmedAt{};
     bool stopConfirmed{false};
+    stop_reason stopReason{stop_reason::not_wanted};
     boot_time stopSentAt{};
     int percent{0};
     /** When the percent last changed. */
--- a/src/azurelb/scheduling/fwd.hpp
+++ b/src/azurelb/scheduling/fwd.hpp
@@ -7,6 +7,7 @@
 enum class assignment_phase;
 enum class run_end;
 enum class start_outcome;
+enum class stop_reason;
 struct assignment;
 struct ended_run;
 struct executor_entry;
--- a/src/azurelb/scheduling/orders.hpp
+++ b/src/azurelb/scheduling/orders.hpp
@@ -2,6 +2,7 @@
 
 #include <azurelb/jobs/task_id.hpp>
 #include <azurelb/scheduling/fwd.hpp>
+#include <azurelb/scheduling/stop_reason.hpp>
 
 #include <chrono>
 #include <string>
@@ -28,6 +29,7 @@
     executor_id executor{};
     task_id task{};
     run_number run{0};
+    stop_reason reason{stop_reason::not_wanted};
 };
 
 /** Share of the processor time that a backfill run may use. */
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -65,7 +65,7 @@
     for (auto &[name, executor] : m_executors.all()) {
         for (auto &[task, held] : executor.assignments) {
             if (task.job == id && held.phase != assignment_phase::stopping)
-                stop(executor, task, held, now);
+                stop(executor, task, held, stop_reason::job_over, now);
         }
     }
 }
@@ -114,12 +114,14 @@
     m_executors.release(executor, task, now);
 }
 
-void scheduler::stop(executor_entry &executor, const task_id &task, assignment &held, boot_time now)
+void scheduler::stop(executor_entry &executor, const task_id &task, assignment &held,
+                     stop_reason reason, boot_time now)
 {
+    held.stopReason = reason;
     held.phase = assignment_phase::stopping;
     held.stopConfirmed = false;
     held.stopSentAt = now;
-    m_orders.emplace_back(stop_order{executor.info.id, task, held.run});
+    m_orders.emplace_back(stop_order{executor.info.id, task, held.run, reason});
 }
 
 void scheduler::observe(const executor_id &id, const executor_report &report, boot_time askedAt,
@@ -176,7 +178,7 @@
         executor_entry *const other = m_executors.find(task->executor);
         assignment *const run = m_executors.find(task->executor, end.task);
         if (run && run->phase != assignment_phase::stopping)
-            stop(*other, end.task, *run, now);
+            stop(*other, end.task, *run, stop_reason::not_wanted, now);
     }
 }
 
@@ -238,7 +240,7 @@
     if (wanted)
         m_jobs.assign(run.task, executor.info.id);
     else
-        stop(executor, run.task, added, now);
+        stop(executor, run.task, added, stop_reason::not_wanted, now);
 }
 
 void scheduler::observeAbsent(executor_entry &executor, const executor_report &report,
@@ -258,9 +260,9 @@
             gone.push_back(task);
         else if (held.phase == assignment_phase::stopping && !held.stopConfirmed
                  && held.stopSentAt + stopRetryInterval < now)
-            stop(executor, task, held, now);
+            stop(executor, task, held, held.stopReason, now);
         else if (held.phase == assignment_phase::doubtful && !listed)
-            stop(executor, task, held, now);
+            stop(executor, task, held, stop_reason::doubtful, now);
     }
     for (const task_id &task : gone)
         drop(executor, task, now);
@@ -326,7 +328,7 @@
             && now - held.progressAt > m_options.stallBound;
         if (!stalled)
             continue;
-        stop(executor, task, held, now);
+        stop(executor, task, held, stop_reason::stalled, now);
         executor.failuresInRow = m_options.suspicionBound;
         executor.suspendedUntil = now + m_options.suspensionTerm;
     }
@@ -338,7 +340,7 @@
         return;
     for (auto &[task, held] : executor.assignments) {
         if (held.longRunning && held.phase == assignment_phase::running)
-            stop(executor, task, held, now);
+            stop(executor, task, held, stop_reason::draining, now);
     }
 }
 
@@ -350,7 +352,7 @@
     for (auto &[task, held] : executor->assignments) {
         if (held.longRunning && held.phase == assignment_phase::running
             && mayInterrupt(task, held, now))
-            stop(*executor, task, held, now);
+            stop(*executor, task, held, stop_reason::maintenance, now);
     }
 }
 
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -109,7 +109,8 @@
     /** Whether planned work may end the run now: not too many of its step are unavailable. */
     [[nodiscard]] bool mayInterrupt(const task_id &task, const assignment &held, boot_time now);
     void stopRunsOf(const job_id &id, boot_time now);
-    void stop(executor_entry &executor, const task_id &task, assignment &held, boot_time now);
+    void stop(executor_entry &executor, const task_id &task, assignment &held, stop_reason reason,
+              boot_time now);
     void drop(executor_entry &executor, const task_id &task, boot_time now);
     void stopStalled(executor_entry &executor, boot_time now);
     void leaveDraining(executor_entry &executor, boot_time now);
