Earlier leases end by the first contact; sizes follow the arrival rate and a forecast of turns

Cause 2: pools were sized by backlog, which lags a turn by 1.5 s, and were parked before the first turn. All timers go through callAfter with a guard now.

--- a/src/azurelb/capacity/pool_planner.cpp
+++ b/src/azurelb/capacity/pool_planner.cpp
@@ -64,7 +64,12 @@
                            + static_cast<double>(longRuns),
                        capacity);
     };
-    return std::max({options.leastVms, load.spread,
+    constexpr double millisPerCore{1000};
+    const std::size_t expected =
+        ratioUp(load.expectedCores * millisPerCore * options.expectedFactor
+                    + static_cast<double>(load.lasting.cpu),
+                vmCapacity.cpu);
+    return std::max({options.leastVms, load.spread, expected,
                      need(load.demand.cpu, load.lasting.cpu, vmCapacity.cpu),
                      need(load.demand.memory, load.lasting.memory, vmCapacity.memory),
                      need(load.demand.accelerators, load.lasting.accelerators,
--- a/src/azurelb/capacity/pool_planner.hpp
+++ b/src/azurelb/capacity/pool_planner.hpp
@@ -18,6 +18,8 @@
     /** Part of the demand of open tasks that a pool is sized for. Runs of a turn end and make
         room before the last of its tasks could start on a VM that arrives later. */
     double demandFactor{0.8};
+    /** Part of the expected cores that a pool is sized for. */
+    double expectedFactor{0.8};
     /** VMs that a pool keeps between its turns, so that first tasks start at once. */
     std::size_t leastVms{2};
     /** A VM without runs for this long may leave. */
--- a/src/azurelb/control/leader_election.cpp
+++ b/src/azurelb/control/leader_election.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/leader_election.hpp>
 #include <azurelb/control/store_keys.hpp>
 #include <azurelb/keyspace/keyspace.hpp>
@@ -74,11 +75,7 @@
     if (!m_free || m_standing || m_resigned || isElected())
         return;
     m_standing = true;
-    m_timer.expires_after(m_delay);
-    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            stand();
-    });
+    callAfter(m_timer, m_delay, m_alive, [this] { stand(); });
 }
 
 void leader_election::stand()
@@ -97,11 +94,7 @@
             return;
         }
         m_standing = false;
-        m_timer.expires_after(retryPause);
-        m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-            if (!cancelled)
-                standSoon();
-        });
+        callAfter(m_timer, retryPause, m_alive, [this] { standSoon(); });
     });
 }
 
@@ -130,11 +123,7 @@
         return;
     }
     // With an unknown outcome the follower tells who holds the key.
-    m_timer.expires_after(retryPause);
-    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            standSoon();
-    });
+    callAfter(m_timer, retryPause, m_alive, [this] { standSoon(); });
 }
 
 void leader_election::elected(store_revision token)
@@ -149,9 +138,8 @@
 
 void leader_election::renewSoon()
 {
-    m_timer.expires_after(m_term / renewalsPerTerm);
-    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled && isElected())
+    callAfter(m_timer, m_term / renewalsPerTerm, m_alive, [this] {
+        if (isElected())
             renew();
     });
 }
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/executor_roster.hpp>
 #include <azurelb/control/owner.hpp>
 #include <azurelb/control/store_keys.hpp>
@@ -113,11 +114,7 @@
         if (alive.expired())
             return;
         if (page.error != keyspace_error::none) {
-            m_tickTimer.expires_after(silentPause);
-            m_tickTimer.async_wait([this, prefix, after, next](const auto &cancelled) {
-                if (!cancelled)
-                    load(prefix, after, next);
-            });
+            callAfter(m_tickTimer, silentPause, m_alive, [this, prefix, after, next] { load(prefix, after, next); });
             return;
         }
         for (const keyspace_item &each : page.items)
@@ -204,6 +201,8 @@
     m_scheduler.addJob(record, known.progress, known.revision, !m_jobsLoaded, acceptedAt);
     if (found != m_stored.end())
         m_stored.erase(found);
+    else if (const job_entry *const job = m_scheduler.jobs().find(record.id))
+        m_vmManager.noteArrival(record.pool, job->shortWork, now);
     if (m_cancelledEarly.erase(record.id) != 0)
         m_scheduler.cancelJob(record.id, now);
     kick();
@@ -315,11 +314,7 @@
 void owner::askLater(const executor_id &id, milliseconds pause)
 {
     channel &to = *m_channels.at(id);
-    to.timer.expires_after(pause);
-    to.timer.async_wait([this, id](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            ask(id);
-    });
+    callAfter(to.timer, pause, m_alive, [this, id] { ask(id); });
 }
 
 void owner::answered(const executor_id &id, executor_reply &&reply, boot_time askedAt)
@@ -384,11 +379,7 @@
 {
     if (!m_began || std::exchange(m_kicked, true))
         return;
-    m_advanceTimer.expires_after(decisionInterval);
-    m_advanceTimer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            advance();
-    });
+    callAfter(m_advanceTimer, decisionInterval, m_alive, [this] { advance(); });
 }
 
 void owner::advance()
@@ -477,11 +468,7 @@
     if (now - m_cleanedAt >= cleaningInterval)
         removeExpired();
     kick();
-    m_tickTimer.expires_after(tickInterval);
-    m_tickTimer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            tick();
-    });
+    callAfter(m_tickTimer, tickInterval, m_alive, [this] { tick(); });
 }
 
 /** The operators are told after it is stored, so that a later owner does not begin anew. */
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/executor_roster.hpp>
 #include <azurelb/control/progress_writer.hpp>
 #include <azurelb/control/store_keys.hpp>
@@ -54,11 +55,7 @@
 {
     if (m_busy || std::exchange(m_armed, true))
         return;
-    m_timer.expires_after(groupingTime);
-    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            flush();
-    });
+    callAfter(m_timer, groupingTime, m_alive, [this] { flush(); });
 }
 
 void progress_writer::remove(const std::vector<std::string> &keys)
@@ -198,11 +195,7 @@
 void progress_writer::retryLater()
 {
     m_units.clear();
-    m_timer.expires_after(retryPause);
-    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            flush();
-    });
+    callAfter(m_timer, retryPause, m_alive, [this] { flush(); });
 }
 
 void progress_writer::finish()
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/owner.hpp>
 #include <azurelb/control/vm_manager.hpp>
 #include <azurelb/log/log.hpp>
@@ -20,6 +21,8 @@
 /** An order without effect in the list after this time, and the order's own, has failed. */
 constexpr milliseconds settleTime{1500};
 
+constexpr std::int64_t millisPerCore{1000};
+
 std::string moveKey(const std::string &vm, const std::string &pool)
 {
     return vm + '>' + pool;
@@ -61,6 +64,14 @@
     m_progress[stored.number] = stored.progress;
 }
 
+void vm_manager::noteArrival(const std::string &pool, double work, boot_time now)
+{
+    if (work <= 0)
+        return;
+    m_workSeen = true;
+    m_predictor.note(pool, work, now);
+}
+
 void vm_manager::reportAgain(std::int64_t wave)
 {
     m_unreported.insert(wave);
@@ -74,11 +85,7 @@
         readList();
     if (m_mayOrder() && now - m_begunAt >= m_options.vmLease && !m_vms.empty())
         plan();
-    m_timer.expires_after(planInterval);
-    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            tick();
-    });
+    callAfter(m_timer, planInterval, m_alive, [this] { tick(); });
 }
 
 void vm_manager::readList()
@@ -204,6 +211,8 @@
 
 void vm_manager::planPools(const std::vector<vm_view> &vms, boot_time now)
 {
+    if (!m_workSeen)
+        return;
     const auto loads = m_scheduler.loads(now);
     std::vector<planned_pool> pools;
     for (const pool_entry &each : m_pools) {
@@ -211,9 +220,18 @@
         const auto found = loads.find(each.name);
         if (found != loads.end())
             pool.load = found->second;
+        pool.load.expectedCores = m_predictor.expectedCores(each.name, now);
         pool.arriving = static_cast<std::size_t>(
             std::count_if(m_orders.begin(), m_orders.end(),
                           [&each](const auto &order) { return order.second.pool == each.name; }));
+        logEvent(event::pool_planned,
+                 {{"pool", each.name},
+                  {"open_cores", pool.load.demand.cpu / millisPerCore},
+                  {"expected_cores", static_cast<std::int64_t>(pool.load.expectedCores)},
+                  {"lasting_cores", pool.load.lasting.cpu / millisPerCore},
+                  {"spread", pool.load.spread},
+                  {"usable", pool.load.executors},
+                  {"arriving", pool.arriving}});
         pools.push_back(std::move(pool));
     }
     for (const vm_move &each : planMoves(pools, vms, now, m_options.pools)) {
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azurelb/capacity/pool_planner.hpp>
+#include <azurelb/capacity/turn_predictor.hpp>
 #include <azurelb/capacity/wave_planner.hpp>
 #include <azurelb/catalogue/pool_entry.hpp>
 #include <azurelb/catalogue/wave_entry.hpp>
@@ -58,6 +59,9 @@
     /** Takes over what an earlier owner has stored of a wave. */
     void restore(const numbered_wave_progress &stored);
 
+    /** Work, in core-milliseconds, has arrived for a pool. */
+    void noteArrival(const std::string &pool, double work, boot_time now);
+
     /** The last report of the wave's progress had no effect. */
     void reportAgain(std::int64_t wave);
 
@@ -106,6 +110,9 @@
     /** Waves whose progress is to be reported. */
     std::set<std::int64_t> m_unreported{};
     std::vector<pool_entry> m_pools{};
+    turn_predictor m_predictor{{}};
+    /** No VM leaves its pool before short work has arrived: the first turn finds the pools full. */
+    bool m_workSeen{false};
     std::set<std::string> m_evacuated{};
     /** VMs that the platform does not allow in a pool. */
     std::set<std::string> m_refusedMoves{};
--- a/src/azurelb/keyspace/prefix_follower.cpp
+++ b/src/azurelb/keyspace/prefix_follower.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/keyspace/keyspace.hpp>
 #include <azurelb/keyspace/prefix_follower.hpp>
 #include <azurelb/log/log.hpp>
@@ -150,11 +151,7 @@
         logEvent(event::follower_failing, {{"prefix", m_prefix}, {"error", toString(error)}});
     const milliseconds pause =
         std::min(firstPause * (1U << std::min(m_failures, mostDoublings)), longestPause);
-    m_timer.expires_after(pause);
-    m_timer.async_wait([this, next](const boost::system::error_code &cancelled) {
-        if (!cancelled)
-            (this->*next)();
-    });
+    callAfter(m_timer, pause, m_alive, [this, next] { (this->*next)(); });
 }
 
 } // namespace azurelb
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -77,6 +77,7 @@
     vm_maintenance_ordered = 941,
     vm_order_failed = 942,
     wave_completed = 943,
+    pool_planned = 944,
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -75,6 +75,7 @@
     {event::vm_maintenance_ordered, severity::info, "vm_maintenance_ordered"},
     {event::vm_order_failed, severity::info, "vm_order_failed"},
     {event::wave_completed, severity::info, "wave_completed"},
+    {event::pool_planned, severity::debug, "pool_planned"},
 };
 
 constexpr bool ascending(const event_entry &left, const event_entry &right) noexcept
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -107,6 +107,13 @@
         std::max(executor.leaseBound, executor.clockAt + term + m_options.leaseMargin);
 }
 
+void executor_table::boundEarlierLeases(executor_entry &executor, boot_time now) const noexcept
+{
+    const auto term = std::chrono::duration_cast<milliseconds>(m_options.leaseTerm
+                                                               * slowClockFactor);
+    executor.leaseBound = std::min(executor.leaseBound, now + term + m_options.leaseMargin);
+}
+
 bool executor_table::anyUnaccounted(boot_time now) const noexcept
 {
     return std::any_of(m_executors.begin(), m_executors.end(), [now](const auto &each) {
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -39,6 +39,9 @@
     /** Notes that a lease until that end has been sent. */
     void noteLease(executor_entry &executor, std::chrono::milliseconds leaseEnd) const noexcept;
 
+    /** The executor has answered: an earlier owner can grant no lease on it any more. */
+    void boundEarlierLeases(executor_entry &executor, boot_time now) const noexcept;
+
     /** Executors that may hold runs of an earlier owner and have not answered this one. */
     [[nodiscard]] bool anyUnaccounted(boot_time now) const noexcept;
 
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -70,8 +70,8 @@
     std::int32_t priority{0};
     /** Time from the acceptance, or from the due time of an occurrence, to the intended end. */
     std::chrono::milliseconds objective{0};
-    /** Processor time of all steps, in core-milliseconds. */
-    double work{0};
+    /** Processor time of the steps that are not long-running, in core-milliseconds. */
+    double shortWork{0};
 };
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -27,11 +27,11 @@
     return longest;
 }
 
-double workOf(const std::vector<job_step> &steps)
+double shortWorkOf(const std::vector<job_step> &steps)
 {
     double sum = 0;
     for (const job_step &each : steps)
-        sum += static_cast<double>(each.taskCount) * static_cast<double>(each.request.cpu) / 1000.0
+        sum += each.longRunning ? 0 : static_cast<double>(each.taskCount) * static_cast<double>(each.request.cpu) / 1000.0
             * static_cast<double>(each.estimate.count());
     return sum;
 }
@@ -57,7 +57,7 @@
     job.acceptedAt = acceptedAt;
     job.storedRevision = storedRevision;
     job.chain = longestChain(job.record.steps);
-    job.work = workOf(job.record.steps);
+    job.shortWork = shortWorkOf(job.record.steps);
     job.state = stored.state;
     if (isFinal(stored.state)) {
         job.endedAt = acceptedAt;
--- a/src/azurelb/scheduling/pool_load.hpp
+++ b/src/azurelb/scheduling/pool_load.hpp
@@ -11,6 +11,8 @@
 {
     /** Requests of all tasks that run or could run now, but for long-running ones. */
     resources demand{};
+    /** Cores that arrivals ask for, by their rate or by forecast. */
+    double expectedCores{0};
     /** Requests of long-running tasks. */
     resources lasting{};
     /** Largest number of long-running tasks of one step that must be on different executors. */
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -137,7 +137,8 @@
     executor->info.born = report.born;
     executor->clock = report.clock;
     executor->clockAt = now;
-    executor->contacted = true;
+    if (!std::exchange(executor->contacted, true))
+        m_executors.boundEarlierLeases(*executor, now);
     executor->silent = false;
     for (const ended_run &each : report.ended)
         m_jobs.openReported(each.task);
@@ -369,8 +370,9 @@
         if (index == task.index)
             continue;
         const task_id other{task.job, task.occurrence, task.step, index};
+        const executor_entry *const executor = m_executors.find(step->tasks[index].executor);
         const assignment *const run = m_executors.find(step->tasks[index].executor, other);
-        const bool atWork = run && run->phase == assignment_phase::running
+        const bool atWork = run && !executor->silent && run->phase == assignment_phase::running
             && run->percent >= fullPercent && now - run->progressAt >= settleTime;
         away += atWork ? 0 : 1;
     }
