Newest jobs first while their pool lacks room

Cause: by least slack, a pool in its turn served most jobs just after their objective. Ruled out: least slack (before).

--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -93,7 +93,9 @@
     const auto rank = [](const waiting_step &each) {
         const bool lasting = each.job->record.steps[each.step].longRunning;
         const bool late = !lasting && each.slack.count() < 0;
-        return std::tuple{late, !lasting, each.job->priority, each.slack};
+        const bool fresh = each.occurrence->stepsDone == 0 && each.occurrence->steps[each.step].assigned == 0;
+        const auto order = fresh && !late ? -each.occurrence->due.time_since_epoch() : each.slack;
+        return std::tuple{late, !lasting, each.job->priority, fresh, order};
     };
     std::sort(waiting.begin(), waiting.end(), [&rank](const auto &left, const auto &right) {
         return rank(left) < rank(right);
