Waves reserve VMs in time, VMs are parked later, a takeover delays fewer VM orders

Cause: last VMs of waves (pinned by long-running tasks) were late; parked VMs were needed again within a second; after a takeover no VM moved for 3 s although most lives were older than any earlier order.

--- a/src/azurelb/capacity/pool_planner.cpp
+++ b/src/azurelb/capacity/pool_planner.cpp
@@ -125,7 +125,7 @@
         if (pool_balance *const to = neediest()) {
             send(*each, *to);
             --from.present;
-        } else if (standby) {
+        } else if (standby && now - each->idleSince >= options.parkTime) {
             moves.push_back({each->vm, standby->name});
             --from.present;
         }
--- a/src/azurelb/capacity/pool_planner.hpp
+++ b/src/azurelb/capacity/pool_planner.hpp
@@ -19,11 +19,14 @@
         room before the last of its tasks could start on a VM that arrives later. */
     double demandFactor{0.8};
     /** Part of the expected cores that a pool is sized for. */
-    double expectedFactor{0.8};
+    double expectedFactor{1.0};
     /** VMs that a pool keeps between its turns, so that first tasks start at once. */
     std::size_t leastVms{2};
-    /** A VM without runs for this long may leave. */
+    /** A VM without runs for this long may leave for a pool that lacks VMs. */
     std::chrono::milliseconds idleTime{300};
+    /** It is parked after this time. A move costs as much as 1.1 s in a pool, and the next turn
+        mostly needs the VM within that time. */
+    std::chrono::milliseconds parkTime{1200};
 };
 
 /** Demand of one pool and the VMs on their way to it. */
--- a/src/azurelb/capacity/wave_planner.cpp
+++ b/src/azurelb/capacity/wave_planner.cpp
@@ -26,6 +26,17 @@
     return now + needed >= wave.deadline;
 }
 
+/** VMs with long-running tasks only that must be reserved side by side to be done in time. */
+std::size_t reservationsAtOnce(const wave_entry &wave, std::size_t busy, boot_time now,
+                               const wave_options &options)
+{
+    const milliseconds left = wave.deadline - options.reserve - now;
+    if (left <= options.vacateTime)
+        return busy;
+    return 1 + busy * static_cast<std::size_t>(options.vacateTime.count())
+        / static_cast<std::size_t>(left.count());
+}
+
 } // namespace
 
 wave_step planWave(const wave_entry &wave, const wave_progress &progress,
@@ -65,8 +76,10 @@
                                             : a->longRuns < b->longRuns;
     });
     const bool pressing = isPressing(wave, left, now, options);
+    const std::size_t atOnce = reservationsAtOnce(wave, busy.size() + reserved, now, options);
     for (const vm_view *const each : busy) {
-        if (used + reserved >= places || (!pressing && (each->shortRuns > 0 || reserved > 0)))
+        if (used + reserved >= places
+            || (!pressing && (each->shortRuns > 0 || reserved >= atOnce)))
             break;
         step.reserve.push_back(each->vm);
         ++reserved;
--- a/src/azurelb/capacity/wave_planner.hpp
+++ b/src/azurelb/capacity/wave_planner.hpp
@@ -17,6 +17,8 @@
     std::chrono::milliseconds maintenanceTime{2000};
     /** Time in which the runs of a reserved VM usually end: the longest tasks take 5 s. */
     std::chrono::milliseconds drainTime{5000};
+    /** Time in which long-running tasks move from a VM and its maintenance is done. */
+    std::chrono::milliseconds vacateTime{4000};
     /** Kept back from the deadline. */
     std::chrono::milliseconds reserve{3000};
 };
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::int64_t millisPerCore{1000};
 
+/** Difference between the clocks of an executor and of this VM. */
+constexpr milliseconds bornTolerance{1000};
+
 std::string moveKey(const std::string &vm, const std::string &pool)
 {
     return vm + '>' + pool;
@@ -83,7 +86,7 @@
     const bool busy = !m_orders.empty();
     if (!m_listing && now - m_listedAt >= (busy ? busyListInterval : idleListInterval))
         readList();
-    if (m_mayOrder() && now - m_begunAt >= m_options.vmLease && !m_vms.empty())
+    if (m_mayOrder() && !m_vms.empty())
         plan();
     callAfter(m_timer, planInterval, m_alive, [this] { tick(); });
 }
@@ -143,6 +146,21 @@
     return found == m_vms.end() ? nullptr : &*found;
 }
 
+/**
+ * An earlier owner's order for a VM must be a lease's time in the past. An order ends the life of
+ * the VM's executor, so a life that is older shows that there was none.
+ */
+bool vm_manager::mayFollowEarlierOwner(const executor_entry *executor) const
+{
+    if (boot_clock::now() - m_begunAt >= m_options.vmLease)
+        return true;
+    if (!executor || executor->info.born == 0)
+        return false;
+    const auto unixNow = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return unixNow - milliseconds{executor->info.born} >= m_options.vmLease + bornTolerance;
+}
+
 bool vm_manager::isStandby(const std::string &pool) const
 {
     return std::any_of(m_pools.begin(), m_pools.end(), [&pool](const pool_entry &each) {
@@ -163,7 +181,8 @@
         // Only of an executor that answers is it known that it has no runs.
         const executor_entry *const executor = m_scheduler.executors().find(each.executor);
         const bool answers = executor && executor->contacted && !executor->silent;
-        made.up = each.state == vm_state::up && (answers || isStandby(each.pool));
+        made.up = each.state == vm_state::up && (answers || isStandby(each.pool))
+            && mayFollowEarlierOwner(executor);
         made.excluded = m_evacuated.contains(each.zone);
         made.ordered = m_orders.contains(each.vm);
         if (executor) {
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -89,6 +89,7 @@
     void maintain(const std::string &vm, std::int64_t wave);
     void move(const std::string &vm, const std::string &pool);
     void ordered(const std::string &vm, vm_order_outcome outcome);
+    [[nodiscard]] bool mayFollowEarlierOwner(const executor_entry *executor) const;
     [[nodiscard]] bool isStandby(const std::string &pool) const;
     [[nodiscard]] const vm_entry *find(const std::string &vm) const;
 
