--- a/src/azurelb/capacity/pool_planner.cpp
+++ b/src/azurelb/capacity/pool_planner.cpp
@@ -65,15 +65,14 @@
                        capacity);
     };
     constexpr double millisPerCore{1000};
-    const std::size_t expected =
-        ratioUp(load.expectedCores * millisPerCore * options.expectedFactor
-                    + static_cast<double>(load.lasting.cpu),
-                vmCapacity.cpu);
-    return std::max({options.leastVms, load.spread, expected,
-                     need(load.demand.cpu, load.lasting.cpu, vmCapacity.cpu),
-                     need(load.demand.memory, load.lasting.memory, vmCapacity.memory),
-                     need(load.demand.accelerators, load.lasting.accelerators,
-                          vmCapacity.accelerators)});
+    const std::size_t expected = ratioUp(load.expectedCores * millisPerCore * options.expectedFactor
+                                             + static_cast<double>(load.lasting.cpu),
+                                         vmCapacity.cpu);
+    return std::max(
+        {options.leastVms, load.spread, expected,
+         need(load.demand.cpu, load.lasting.cpu, vmCapacity.cpu),
+         need(load.demand.memory, load.lasting.memory, vmCapacity.memory),
+         need(load.demand.accelerators, load.lasting.accelerators, vmCapacity.accelerators)});
 }
 
 std::vector<vm_move> planMoves(const std::vector<planned_pool> &pools,
--- a/src/azurelb/capacity/turn_predictor.hpp
+++ b/src/azurelb/capacity/turn_predictor.hpp
@@ -32,8 +32,9 @@
         std::chrono::milliseconds leastHistory{8000};
         /** Rate, in cores, below which there is no turn: some VMs carry it in any case. */
         double leastCores{200};
-        /** A turn is prepared for this long before it is expected: the time of a move. */
-        std::chrono::milliseconds lead{1600};
+        /** A turn is prepared for this long before it is expected: the time of a move, 1.5 s, and
+            that after which a turn is noticed. */
+        std::chrono::milliseconds lead{1900};
         /** An expected turn that has not begun so long after its time is given up. */
         std::chrono::milliseconds patience{1000};
     };
--- a/src/azurelb/capacity/wave_planner.cpp
+++ b/src/azurelb/capacity/wave_planner.cpp
@@ -17,7 +17,8 @@
 }
 
 /** Whether the VMs that are left need all places from now on to be done by the deadline. */
-bool isPressing(const wave_entry &wave, std::size_t left, boot_time now, const wave_options &options)
+bool isPressing(const wave_entry &wave, std::size_t left, boot_time now,
+                const wave_options &options)
 {
     const std::size_t places = std::max<std::size_t>(wave.maxParallel, 1);
     const auto rounds = static_cast<milliseconds::rep>((left + places - 1) / places);
@@ -33,7 +34,8 @@
     const milliseconds left = wave.deadline - options.reserve - now;
     if (left <= options.vacateTime)
         return busy;
-    return 1 + busy * static_cast<std::size_t>(options.vacateTime.count())
+    return 1
+        + busy * static_cast<std::size_t>(options.vacateTime.count())
         / static_cast<std::size_t>(left.count());
 }
 
@@ -78,8 +80,7 @@
     const bool pressing = isPressing(wave, left, now, options);
     const std::size_t atOnce = reservationsAtOnce(wave, busy.size() + reserved, now, options);
     for (const vm_view *const each : busy) {
-        if (used + reserved >= places
-            || (!pressing && (each->shortRuns > 0 || reserved >= atOnce)))
+        if (used + reserved >= places || (!pressing && (each->shortRuns > 0 || reserved >= atOnce)))
             break;
         step.reserve.push_back(each->vm);
         ++reserved;
--- a/src/azurelb/control/leader_election.cpp
+++ b/src/azurelb/control/leader_election.cpp
@@ -1,6 +1,6 @@
-#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/leader_election.hpp>
 #include <azurelb/control/store_keys.hpp>
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/keyspace/keyspace.hpp>
 #include <azurelb/log/log.hpp>
 
@@ -39,7 +39,10 @@
     , m_onElected{std::move(onElected)}
     , m_onLost{std::move(onLost)}
     , m_timer{loop}
-    , m_follower{loop, with, std::string{store_keys::owner}, watchWait,
+    , m_follower{loop,
+                 with,
+                 std::string{store_keys::owner},
+                 watchWait,
                  [this](const keyspace_item &item) { take(item); },
                  [this] {
                      if (!isElected() && !m_free && !m_standing) {
@@ -85,17 +88,18 @@
         return;
     }
     m_grantSentAt = boot_clock::now();
-    m_keyspace.grant(m_term, [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_lease &&granted) {
-        if (alive.expired())
-            return;
-        if (granted.error == keyspace_error::none) {
-            m_lease = granted.lease;
-            takeKey();
-            return;
-        }
-        m_standing = false;
-        callAfter(m_timer, retryPause, m_alive, [this] { standSoon(); });
-    });
+    m_keyspace.grant(m_term,
+                     [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_lease &&granted) {
+                         if (alive.expired())
+                             return;
+                         if (granted.error == keyspace_error::none) {
+                             m_lease = granted.lease;
+                             takeKey();
+                             return;
+                         }
+                         m_standing = false;
+                         callAfter(m_timer, retryPause, m_alive, [this] { standSoon(); });
+                     });
 }
 
 void leader_election::takeKey()
@@ -147,11 +151,11 @@
 void leader_election::renew()
 {
     const boot_time sentAt = boot_clock::now();
-    m_keyspace.renew(m_lease, [this, sentAt, alive = std::weak_ptr<bool>{m_alive}](
-                                  keyspace_lease &&outcome) {
-        if (!alive.expired() && isElected())
-            renewed(std::move(outcome), sentAt);
-    });
+    m_keyspace.renew(
+        m_lease, [this, sentAt, alive = std::weak_ptr<bool>{m_alive}](keyspace_lease &&outcome) {
+            if (!alive.expired() && isElected())
+                renewed(std::move(outcome), sentAt);
+        });
 }
 
 void leader_election::renewed(keyspace_lease &&outcome, boot_time sentAt)
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -1,8 +1,8 @@
-#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/executor_roster.hpp>
 #include <azurelb/control/owner.hpp>
 #include <azurelb/control/store_keys.hpp>
 #include <azurelb/control/vm_service.hpp>
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/jobs/job_codec.hpp>
 #include <azurelb/keyspace/keyspace.hpp>
 #include <azurelb/log/log.hpp>
@@ -67,15 +67,21 @@
 
 } // namespace
 
-owner::owner(services with, const scheduling_options &options,
-             const vm_manager::options &vmOptions, store_revision token, lost_handler onLost)
+owner::owner(services with, const scheduling_options &options, const vm_manager::options &vmOptions,
+             store_revision token, lost_handler onLost)
     : m_with{std::move(with)}
     , m_options{options}
     , m_token{token}
     , m_onLost{std::move(onLost)}
     , m_scheduler{options, token * runsPerOwner}
-    , m_writer{m_with.loop, m_with.store, m_scheduler, token, [this] { stored(); },
-               [this] { m_onLost("the key belongs to another owner"); }}
+    , m_writer{m_with.loop,
+               m_with.store,
+               m_scheduler,
+               token,
+               [this] { stored(); },
+               [this] {
+                   m_onLost("the key belongs to another owner");
+               }}
     , m_vmManager{m_with.loop,
                   m_with.vms,
                   m_scheduler,
@@ -100,30 +106,31 @@
     m_with.executors.setToken(m_token);
     m_with.vms.setToken(m_token);
     load(std::string{store_keys::progress}, {}, [this] {
-        load(std::string{store_keys::executors}, {}, [this] {
-            load(std::string{store_keys::waves}, {}, [this] { follow(); });
-        });
+        load(std::string{store_keys::executors}, {},
+             [this] { load(std::string{store_keys::waves}, {}, [this] { follow(); }); });
     });
 }
 
 void owner::load(std::string prefix, std::string after, std::function<void()> next)
 {
-    m_with.store.range(prefix, after, [this, prefix, after, next = std::move(next),
-                                       alive = std::weak_ptr<bool>{m_alive}](
-                                          keyspace_range &&page) {
-        if (alive.expired())
-            return;
-        if (page.error != keyspace_error::none) {
-            callAfter(m_tickTimer, silentPause, m_alive, [this, prefix, after, next] { load(prefix, after, next); });
-            return;
-        }
-        for (const keyspace_item &each : page.items)
-            takeStored(each);
-        if (page.more && !page.items.empty())
-            load(prefix, page.items.back().key, next);
-        else
-            next();
-    });
+    m_with.store.range(prefix, after,
+                       [this, prefix, after, next = std::move(next),
+                        alive = std::weak_ptr<bool>{m_alive}](keyspace_range &&page) {
+                           if (alive.expired())
+                               return;
+                           if (page.error != keyspace_error::none) {
+                               callAfter(
+                                   m_tickTimer, silentPause, m_alive,
+                                   [this, prefix, after, next] { load(prefix, after, next); });
+                               return;
+                           }
+                           for (const keyspace_item &each : page.items)
+                               takeStored(each);
+                           if (page.more && !page.items.empty())
+                               load(prefix, page.items.back().key, next);
+                           else
+                               next();
+                       });
 }
 
 void owner::takeStored(const keyspace_item &item)
@@ -133,7 +140,7 @@
         auto progress = decodeProgress(item.value);
         if (progress)
             m_stored[job_id{key.substr(store_keys::progress.size())}] = {std::move(*progress),
-                                                                        item.revision};
+                                                                         item.revision};
         else
             logEvent(event::stored_value_damaged, {{"key", key}});
         return;
@@ -164,7 +171,9 @@
                                     m_scheduler.unregisterExecutor(id);
                                     kick();
                                 },
-                                [this] { begin(); }});
+                                [this] {
+                                    begin();
+                                }});
         });
     m_jobs->start();
 }
@@ -173,8 +182,7 @@
 {
     if (item.removed)
         return;
-    if (const job_id cancelled = jobOfKey(item.key, store_keys::cancelSuffix);
-        !cancelled.empty()) {
+    if (const job_id cancelled = jobOfKey(item.key, store_keys::cancelSuffix); !cancelled.empty()) {
         if (!m_scheduler.jobs().find(cancelled))
             m_cancelledEarly.insert(cancelled);
         m_scheduler.cancelJob(cancelled, boot_clock::now());
@@ -231,9 +239,10 @@
 void owner::begin()
 {
     m_began = true;
-    logEvent(event::owner_ready, {{"token", m_token},
-                                  {"jobs", m_scheduler.jobs().size()},
-                                  {"executors", m_scheduler.executors().all().size()}});
+    logEvent(event::owner_ready,
+             {{"token", m_token},
+              {"jobs", m_scheduler.jobs().size()},
+              {"executors", m_scheduler.executors().all().size()}});
     // Executors of the roster that the directory does not know may still run something.
     for (const auto &[id, executor] : m_scheduler.executors().all()) {
         if (!m_channels.contains(id))
@@ -298,17 +307,16 @@
     if (executor->contacted && !to.restartNumbers) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
         m_scheduler.executors().noteLease(*executor, *request.leaseEnd);
-        const bool paced =
-            std::any_of(executor->assignments.begin(), executor->assignments.end(),
-                        [](const auto &each) { return each.second.backfill; });
+        const bool paced = std::any_of(executor->assignments.begin(), executor->assignments.end(),
+                                       [](const auto &each) { return each.second.backfill; });
         request.wait = executor->assignments.empty() ? idleWait : paced ? pacedWait : busyWait;
     }
     to.asking = true;
-    m_with.executors.report(request, [this, id, now, alive = std::weak_ptr<bool>{m_alive}](
-                                         executor_reply &&reply) {
-        if (!alive.expired())
-            answered(id, std::move(reply), now);
-    });
+    m_with.executors.report(
+        request, [this, id, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
+            if (!alive.expired())
+                answered(id, std::move(reply), now);
+        });
 }
 
 void owner::askLater(const executor_id &id, milliseconds pause)
@@ -407,29 +415,30 @@
     const executor_entry *const executor = m_scheduler.executors().find(order.executor);
     if (!executor)
         return;
-    logEvent(event::run_ordered, {{"task", toString(order.task)},
-                                  {"run", order.run},
-                                  {"executor", order.executor},
-                                  {"token", m_token}});
-    m_with.executors.start(executor->info.address, order,
-                           [this, order, alive = std::weak_ptr<bool>{m_alive}](
-                               start_outcome outcome) {
-                               if (alive.expired())
-                                   return;
-                               if (outcome == start_outcome::fenced) {
-                                   m_onLost("an executor follows a newer owner");
-                                   return;
-                               }
-                               if (outcome != start_outcome::started)
-                                   logEvent(event::run_not_started,
-                                            {{"task", toString(order.task)},
-                                             {"run", order.run},
-                                             {"executor", order.executor},
-                                             {"outcome", toString(outcome)}});
-                               m_scheduler.noteStart(order, outcome, boot_clock::now());
-                               if (outcome != start_outcome::started)
-                                   kick();
-                           });
+    logEvent(event::run_ordered,
+             {{"task", toString(order.task)},
+              {"run", order.run},
+              {"executor", order.executor},
+              {"token", m_token}});
+    m_with.executors.start(
+        executor->info.address, order,
+        [this, order, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
+            if (alive.expired())
+                return;
+            if (outcome == start_outcome::fenced) {
+                m_onLost("an executor follows a newer owner");
+                return;
+            }
+            if (outcome != start_outcome::started)
+                logEvent(event::run_not_started,
+                         {{"task", toString(order.task)},
+                          {"run", order.run},
+                          {"executor", order.executor},
+                          {"outcome", toString(outcome)}});
+            m_scheduler.noteStart(order, outcome, boot_clock::now());
+            if (outcome != start_outcome::started)
+                kick();
+        });
 }
 
 void owner::carry(const stop_order &order)
@@ -437,17 +446,17 @@
     const executor_entry *const executor = m_scheduler.executors().find(order.executor);
     if (!executor)
         return;
-    logEvent(event::run_stop_ordered, {{"task", toString(order.task)},
-                                       {"run", order.run},
-                                       {"executor", order.executor},
-                                       {"reason", toString(order.reason)}});
-    m_with.executors.stop(executor->info.address, order,
-                          [this, order, alive = std::weak_ptr<bool>{m_alive}](
-                              start_outcome outcome) {
-                              if (!alive.expired())
-                                  m_scheduler.noteStop(order, outcome == start_outcome::started,
-                                                       boot_clock::now());
-                          });
+    logEvent(event::run_stop_ordered,
+             {{"task", toString(order.task)},
+              {"run", order.run},
+              {"executor", order.executor},
+              {"reason", toString(order.reason)}});
+    m_with.executors.stop(
+        executor->info.address, order,
+        [this, order, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
+            if (!alive.expired())
+                m_scheduler.noteStop(order, outcome == start_outcome::started, boot_clock::now());
+        });
 }
 
 void owner::carry(const pace_order &order)
@@ -478,18 +487,19 @@
         {{std::string{store_keys::owner}, m_token}},
         {{store_keys::wave(wave.number), encodeWaveProgress(wave.number, progress), 0}},
         {}};
-    m_with.store.commit(write, [this, wave, progress, alive = std::weak_ptr<bool>{m_alive}](
-                                   keyspace_commit &&outcome) {
-        if (alive.expired())
-            return;
-        if (outcome.error == keyspace_error::none) {
-            m_with.publishWave(wave);
-            return;
-        }
-        logEvent(event::progress_not_stored,
-                 {{"error", toString(outcome.error)}, {"wave", wave.number}});
-        m_vmManager.reportAgain(wave.number);
-    });
+    m_with.store.commit(
+        write,
+        [this, wave, progress, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
+            if (alive.expired())
+                return;
+            if (outcome.error == keyspace_error::none) {
+                m_with.publishWave(wave);
+                return;
+            }
+            logEvent(event::progress_not_stored,
+                     {{"error", toString(outcome.error)}, {"wave", wave.number}});
+            m_vmManager.reportAgain(wave.number);
+        });
 }
 
 void owner::publishWaiting()
@@ -506,11 +516,11 @@
     const keyspace_write write{{{std::string{store_keys::owner}, m_token}},
                                {{std::string{store_keys::waiting}, text, 0}},
                                {}};
-    m_with.store.commit(write, [this, text, alive = std::weak_ptr<bool>{m_alive}](
-                                   keyspace_commit &&outcome) {
-        if (!alive.expired() && outcome.error == keyspace_error::none)
-            m_publishedWaiting = text;
-    });
+    m_with.store.commit(
+        write, [this, text, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
+            if (!alive.expired() && outcome.error == keyspace_error::none)
+                m_publishedWaiting = text;
+        });
 }
 
 void owner::removeExpired()
@@ -519,8 +529,8 @@
     m_cleanedAt = now;
     for (const job_id &id : m_scheduler.jobs().endedBefore(now - retention)) {
         m_scheduler.jobs().erase(id);
-        m_writer.remove({store_keys::jobRecord(id), store_keys::jobCancel(id),
-                         store_keys::jobProgress(id)});
+        m_writer.remove(
+            {store_keys::jobRecord(id), store_keys::jobCancel(id), store_keys::jobProgress(id)});
     }
 }
 
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -58,8 +58,8 @@
         wave_publisher publishWave;
     };
 
-    owner(services with, const scheduling_options &options,
-          const vm_manager::options &vmOptions, store_revision token, lost_handler onLost);
+    owner(services with, const scheduling_options &options, const vm_manager::options &vmOptions,
+          store_revision token, lost_handler onLost);
     owner(const owner &) = delete;
     owner &operator=(const owner &) = delete;
     ~owner();
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -1,7 +1,7 @@
-#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/executor_roster.hpp>
 #include <azurelb/control/progress_writer.hpp>
 #include <azurelb/control/store_keys.hpp>
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/jobs/job_codec.hpp>
 #include <azurelb/keyspace/keyspace.hpp>
 #include <azurelb/log/log.hpp>
@@ -40,8 +40,7 @@
 } // namespace
 
 progress_writer::progress_writer(boost::asio::io_context &loop, keyspace &to, scheduler &from,
-                                 store_revision token, stored_handler onStored,
-                                 lost_handler onLost)
+                                 store_revision token, stored_handler onStored, lost_handler onLost)
     : m_loop{loop}
     , m_keyspace{to}
     , m_scheduler{from}
@@ -100,11 +99,10 @@
         if (!job)
             continue;
         const std::string key = store_keys::jobProgress(id);
-        m_units.push_back({{{{key, job->storedRevision}},
-                            {{key, encode(job_table::progressOf(*job)), 0}},
-                            {}},
-                           id,
-                           {}});
+        m_units.push_back(
+            {{{{key, job->storedRevision}}, {{key, encode(job_table::progressOf(*job)), 0}}, {}},
+             id,
+             {}});
     }
 }
 
@@ -131,11 +129,12 @@
         m_units.pop_back();
     }
     write.conditions.push_back({std::string{store_keys::owner}, m_token});
-    m_keyspace.commit(write, [this, chunk = std::move(chunk),
-                              alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) mutable {
-        if (!alive.expired())
-            written(std::move(chunk), std::move(outcome));
-    });
+    m_keyspace.commit(write,
+                      [this, chunk = std::move(chunk),
+                       alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) mutable {
+                          if (!alive.expired())
+                              written(std::move(chunk), std::move(outcome));
+                      });
 }
 
 void progress_writer::written(std::vector<unit> &&chunk, keyspace_commit &&outcome)
@@ -146,9 +145,9 @@
         return;
     }
     if (outcome.error == keyspace_error::conflict) {
-        const auto owner = std::find_if(
-            outcome.current.begin(), outcome.current.end(),
-            [](const keyspace_item &each) { return each.key == store_keys::owner; });
+        const auto owner =
+            std::find_if(outcome.current.begin(), outcome.current.end(),
+                         [](const keyspace_item &each) { return each.key == store_keys::owner; });
         if (owner == outcome.current.end() || owner->revision != m_token) {
             m_onLost();
             return;
@@ -187,8 +186,7 @@
                 job->storedRevision = found->revision;
             m_scheduler.jobs().markDirty(*job);
         }
-        m_removals.insert(m_removals.end(), each.write.removals.begin(),
-                          each.write.removals.end());
+        m_removals.insert(m_removals.end(), each.write.removals.begin(), each.write.removals.end());
     }
 }
 
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -1,6 +1,6 @@
-#include <azurelb/core/call_after.hpp>
 #include <azurelb/control/owner.hpp>
 #include <azurelb/control/vm_manager.hpp>
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/log/log.hpp>
 #include <azurelb/scheduling/scheduler.hpp>
 
@@ -277,11 +277,11 @@
     m_orders[vm] = {entry->pool, entry->executor, boot_clock::now(), false, wave};
     m_progress[wave].inMaintenance.insert(vm);
     logEvent(event::vm_maintenance_ordered, {{"target", vm}, {"wave", wave}});
-    m_service.maintain(vm, wave, [this, vm, alive = std::weak_ptr<bool>{m_alive}](
-                                     vm_order_outcome outcome) {
-        if (!alive.expired())
-            ordered(vm, outcome);
-    });
+    m_service.maintain(vm, wave,
+                       [this, vm, alive = std::weak_ptr<bool>{m_alive}](vm_order_outcome outcome) {
+                           if (!alive.expired())
+                               ordered(vm, outcome);
+                       });
 }
 
 void vm_manager::move(const std::string &vm, const std::string &pool)
@@ -292,11 +292,11 @@
     reserve(vm, true);
     m_orders[vm] = {pool, entry->executor, boot_clock::now(), false, 0};
     logEvent(event::vm_move_ordered, {{"target", vm}, {"from", entry->pool}, {"pool", pool}});
-    m_service.move(vm, pool, [this, vm, alive = std::weak_ptr<bool>{m_alive}](
-                                 vm_order_outcome outcome) {
-        if (!alive.expired())
-            ordered(vm, outcome);
-    });
+    m_service.move(vm, pool,
+                   [this, vm, alive = std::weak_ptr<bool>{m_alive}](vm_order_outcome outcome) {
+                       if (!alive.expired())
+                           ordered(vm, outcome);
+                   });
 }
 
 void vm_manager::ordered(const std::string &vm, vm_order_outcome outcome)
--- a/src/azurelb/core/call_after.hpp
+++ b/src/azurelb/core/call_after.hpp
@@ -18,8 +18,8 @@
                std::weak_ptr<bool> guard, Function function)
 {
     timer.expires_after(pause);
-    timer.async_wait([guard = std::move(guard), function = std::move(function)](
-                         const boost::system::error_code &cancelled) {
+    timer.async_wait([guard = std::move(guard),
+                      function = std::move(function)](const boost::system::error_code &cancelled) {
         if (!cancelled && !guard.expired())
             function();
     });
--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -102,15 +102,15 @@
         if (read.error == keyspace_error::missing)
             co_return intake_outcome::missing;
         if (read.error == keyspace_error::none) {
-            const keyspace_write write{{{record, read.items.front().revision}, {mark, 0}},
-                                       {{mark, "{}", 0}},
-                                       {}};
+            const keyspace_write write{
+                {{record, read.items.front().revision}, {mark, 0}}, {{mark, "{}", 0}}, {}};
             const keyspace_commit outcome = co_await commit(write);
             if (outcome.error == keyspace_error::none)
                 co_return intake_outcome::done;
-            const bool marked = std::any_of(
-                outcome.current.begin(), outcome.current.end(),
-                [&mark](const keyspace_item &each) { return each.key == mark && each.revision != 0; });
+            const bool marked = std::any_of(outcome.current.begin(), outcome.current.end(),
+                                            [&mark](const keyspace_item &each) {
+                                                return each.key == mark && each.revision != 0;
+                                            });
             if (outcome.error == keyspace_error::conflict && marked)
                 co_return intake_outcome::done;
         }
--- a/src/azurelb/jobs/job_codec.cpp
+++ b/src/azurelb/jobs/job_codec.cpp
@@ -161,14 +161,10 @@
     json::array steps;
     for (const job_step &each : job.steps)
         steps.push_back(encodeStep(each));
-    json::object out{{"id", job.id},
-                     {"queue", job.queue},
-                     {"pool", job.pool},
-                     {"team", job.team},
-                     {"config", job.configVersion},
-                     {"accepted_ms", job.acceptedAt.count()},
-                     {"spec", job.spec},
-                     {"steps", std::move(steps)}};
+    json::object out{
+        {"id", job.id},     {"queue", job.queue},          {"pool", job.pool},
+        {"team", job.team}, {"config", job.configVersion}, {"accepted_ms", job.acceptedAt.count()},
+        {"spec", job.spec}, {"steps", std::move(steps)}};
     if (job.repeats != 0) {
         out["repeats"] = job.repeats;
         out["first_due_ms"] = job.firstDue.count();
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -53,8 +53,7 @@
 };
 
 /** The assignment of a new run of the step's tasks. */
-[[nodiscard]] assignment makeAssignment(const job_entry &job, const job_step &step,
-                                        run_number run);
+[[nodiscard]] assignment makeAssignment(const job_entry &job, const job_step &step, run_number run);
 
 /** One life of an executor as its owner sees it. */
 struct executor_entry
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -101,16 +101,16 @@
 
 void executor_table::noteLease(executor_entry &executor, milliseconds leaseEnd) const noexcept
 {
-    const auto term = std::chrono::duration_cast<milliseconds>((leaseEnd - executor.clock)
-                                                               * slowClockFactor);
+    const auto term =
+        std::chrono::duration_cast<milliseconds>((leaseEnd - executor.clock) * slowClockFactor);
     executor.leaseBound =
         std::max(executor.leaseBound, executor.clockAt + term + m_options.leaseMargin);
 }
 
 void executor_table::boundEarlierLeases(executor_entry &executor, boot_time now) const noexcept
 {
-    const auto term = std::chrono::duration_cast<milliseconds>(m_options.leaseTerm
-                                                               * slowClockFactor);
+    const auto term =
+        std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor);
     executor.leaseBound = std::min(executor.leaseBound, now + term + m_options.leaseMargin);
 }
 
--- a/src/azurelb/scheduling/fwd.hpp
+++ b/src/azurelb/scheduling/fwd.hpp
@@ -5,6 +5,7 @@
 namespace azurelb {
 
 enum class assignment_phase;
+enum class queue_order;
 enum class run_end;
 enum class start_outcome;
 enum class stop_reason;
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -31,8 +31,10 @@
 {
     double sum = 0;
     for (const job_step &each : steps)
-        sum += each.longRunning ? 0 : static_cast<double>(each.taskCount) * static_cast<double>(each.request.cpu) / 1000.0
-            * static_cast<double>(each.estimate.count());
+        sum += each.longRunning
+            ? 0
+            : static_cast<double>(each.taskCount) * static_cast<double>(each.request.cpu) / 1000.0
+                * static_cast<double>(each.estimate.count());
     return sum;
 }
 
@@ -98,8 +100,8 @@
 {
     job.attempts = queue.attempts;
     job.priority = queue.priority;
-    job.objective = std::chrono::duration_cast<milliseconds>(job.chain * queue.stretch)
-        + queue.target;
+    job.objective =
+        std::chrono::duration_cast<milliseconds>(job.chain * queue.stretch) + queue.target;
 }
 
 bool job_table::cancel(const job_id &id, boot_time now)
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -65,10 +65,24 @@
         && !m_evacuated.contains(executor.info.zone);
 }
 
+const std::array<scheduler::position_function, 2> scheduler::positionBy{
+    &scheduler::positionByAge, &scheduler::positionBySlack};
+
+milliseconds scheduler::positionByAge(const waiting_step &step) const
+{
+    return -step.occurrence->due.time_since_epoch();
+}
+
+milliseconds scheduler::positionBySlack(const waiting_step &step) const
+{
+    return step.slack;
+}
+
 /**
- * Order of the waiting steps of one pool. Load pattern: turns of five times the mean. While all
- * can still meet their objective the one with least slack goes first; those that have missed it
- * wait until the others have room, as completing them late is worth little to their callers.
+ * Order of the waiting steps. Load pattern: turns of five times the mean, more than a pool has
+ * room for. Jobs that have begun go before fresh ones, by their slack; jobs that have missed their
+ * objective wait until the others have room, as completing them late is worth little to their
+ * callers.
  */
 std::vector<scheduler::waiting_step> scheduler::waitingSteps(boot_time now)
 {
@@ -90,16 +104,17 @@
             }
         }
     }
-    const auto rank = [](const waiting_step &each) {
+    const auto position = positionBy[static_cast<std::size_t>(m_options.order)];
+    const auto rank = [this, position](const waiting_step &each) {
         const bool lasting = each.job->record.steps[each.step].longRunning;
         const bool late = !lasting && each.slack.count() < 0;
-        const bool fresh = each.occurrence->stepsDone == 0 && each.occurrence->steps[each.step].assigned == 0;
-        const auto order = fresh && !late ? -each.occurrence->due.time_since_epoch() : each.slack;
-        return std::tuple{late, !lasting, each.job->priority, fresh, order};
+        const bool fresh =
+            each.occurrence->stepsDone == 0 && each.occurrence->steps[each.step].assigned == 0;
+        return std::tuple{late, !lasting, each.job->priority, fresh,
+                          fresh && !late ? (this->*position)(each) : each.slack};
     };
-    std::sort(waiting.begin(), waiting.end(), [&rank](const auto &left, const auto &right) {
-        return rank(left) < rank(right);
-    });
+    std::sort(waiting.begin(), waiting.end(),
+              [&rank](const auto &left, const auto &right) { return rank(left) < rank(right); });
     return waiting;
 }
 
@@ -138,8 +153,7 @@
 }
 
 /** A gang starts as a whole: its members wait for each other and hold their room meanwhile. */
-void scheduler::placeGang(const waiting_step &step, const candidate_list &candidates,
-                          boot_time now)
+void scheduler::placeGang(const waiting_step &step, const candidate_list &candidates, boot_time now)
 {
     step_entry &entry = step.occurrence->steps[step.step];
     if (entry.assigned > 0)
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -252,8 +252,7 @@
         const auto isListed = [&task = task, &held = held](const reported_run &each) {
             return each.task == task && each.run == held.run;
         };
-        const bool listed =
-            std::any_of(report.running.begin(), report.running.end(), isListed);
+        const bool listed = std::any_of(report.running.begin(), report.running.end(), isListed);
         const bool asked = held.confirmedAt < askedAt;
         if (held.phase == assignment_phase::running && !listed && asked)
             gone.push_back(task);
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <azurelb/scheduling/pool_load.hpp>
 #include <azurelb/scheduling/start_outcome.hpp>
 
+#include <array>
 #include <chrono>
 #include <set>
 #include <string>
@@ -95,6 +96,7 @@
         /** Time left until the objective once the remaining chain has run. */
         std::chrono::milliseconds slack;
     };
+    using position_function = std::chrono::milliseconds (scheduler::*)(const waiting_step &) const;
     using candidate_list = std::vector<executor_entry *>;
 
     void observeRunning(executor_entry &executor, const reported_run &run, boot_time now);
@@ -116,6 +118,8 @@
     void leaveDraining(executor_entry &executor, boot_time now);
 
     [[nodiscard]] std::vector<waiting_step> waitingSteps(boot_time now);
+    [[nodiscard]] std::chrono::milliseconds positionByAge(const waiting_step &step) const;
+    [[nodiscard]] std::chrono::milliseconds positionBySlack(const waiting_step &step) const;
     [[nodiscard]] bool isUsable(const executor_entry &executor, boot_time now) const;
     void placeWaiting(boot_time now);
     void place(const waiting_step &step, const candidate_list &candidates, boot_time now);
@@ -125,6 +129,9 @@
     void start(const waiting_step &step, std::uint32_t index, executor_entry &executor,
                run_number run, boot_time now);
 
+    /** Indexed by queue_order. */
+    static const std::array<position_function, 2> positionBy;
+
     scheduling_options m_options;
     run_number m_lastRun;
     catalogue m_catalogue{};
--- a/src/azurelb/scheduling/scheduling_options.hpp
+++ b/src/azurelb/scheduling/scheduling_options.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <azurelb/scheduling/queue_order.hpp>
+
 #include <chrono>
 
 namespace azurelb {
@@ -28,6 +30,7 @@
     /** Ends by failure in a row after which an executor is suspended: one may be the task's own
         fault, which the callers' programs show in up to 3 % of runs. */
     unsigned suspicionBound{2};
+    queue_order order{queue_order::newest_first};
 };
 
 /** An executor's clock may be slow by 2 %: its lease lasts up to this much longer than by ours. */
--- /dev/null
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -0,0 +1,256 @@
+#include <azurelb/capacity/pool_planner.hpp>
+#include <azurelb/capacity/turn_predictor.hpp>
+#include <azurelb/capacity/wave_planner.hpp>
+#include <azurelb/capacity/wave_progress.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace azurelb;
+using std::chrono::milliseconds;
+
+constexpr resources vmRoom{64'000, 131'072, 0};
+
+vm_view idleVm(const std::string &name, const std::string &pool, boot_time since)
+{
+    vm_view vm;
+    vm.vm = name;
+    vm.pool = pool;
+    vm.capacity = vmRoom;
+    vm.up = true;
+    vm.idleSince = since;
+    return vm;
+}
+
+class pool_planner_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(pool_planner_test);
+    CPPUNIT_TEST(idleVmsGoStraightToThePoolThatLacksMost);
+    CPPUNIT_TEST(parkedVmsFollow);
+    CPPUNIT_TEST(unusedVmsAreParked);
+    CPPUNIT_TEST(busyAndReservedVmsStay);
+    CPPUNIT_TEST(keepsLeastVmsAndSpread);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_pools = {{"a", false, {}, 0}, {"b", false, {}, 0}, {"spare", true, {}, 0}};
+    }
+
+    void idleVmsGoStraightToThePoolThatLacksMost()
+    {
+        m_pools[1].load.demand.cpu = 5 * vmRoom.cpu;
+        add("a", 6);
+        add("b", 1);
+        const auto moves = plan();
+        const auto toNeedy = std::count_if(moves.begin(), moves.end(),
+                                           [](const vm_move &each) { return each.pool == "b"; });
+        // Four of five are needed and one is there; what is left over is parked.
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, toNeedy);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, moves.size());
+    }
+
+    void parkedVmsFollow()
+    {
+        m_pools[0].load.expectedCores = 5 * 64;
+        add("a", 2);
+        add("b", 2);
+        add("spare", 8);
+        const auto moves = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, moves.size());
+        CPPUNIT_ASSERT(moves.front().vm.starts_with("spare"));
+    }
+
+    void unusedVmsAreParked()
+    {
+        add("a", 5);
+        add("b", 2);
+        const auto moves = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, moves.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"spare"}, moves.front().pool);
+        m_now -= milliseconds{9'500};
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    void busyAndReservedVmsStay()
+    {
+        add("a", 6);
+        m_vms[0].shortRuns = 1;
+        m_vms[1].longRuns = 1;
+        m_vms[2].reserved = true;
+        m_vms[3].ordered = true;
+        m_vms[4].up = false;
+        m_pools[1].load.demand.cpu = 9 * vmRoom.cpu;
+        CPPUNIT_ASSERT(plan().size() <= 1);
+    }
+
+    void keepsLeastVmsAndSpread()
+    {
+        pool_load load;
+        CPPUNIT_ASSERT_EQUAL(m_options.leastVms, vmsNeeded(load, vmRoom, m_options));
+        load.spread = 7;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, vmsNeeded(load, vmRoom, m_options));
+        load.lasting.memory = 9 * vmRoom.memory;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, vmsNeeded(load, vmRoom, m_options));
+    }
+
+private:
+    void add(const std::string &pool, int count)
+    {
+        for (int index = 0; index < count; ++index)
+            m_vms.push_back(idleVm(pool + std::to_string(index), pool, boot_time{}));
+    }
+
+    [[nodiscard]] std::vector<vm_move> plan() const
+    {
+        return planMoves(m_pools, m_vms, m_now, m_options);
+    }
+
+    pool_planner_options m_options{};
+    std::vector<planned_pool> m_pools{};
+    std::vector<vm_view> m_vms{};
+    boot_time m_now{std::chrono::seconds{10}};
+};
+
+/** Replays queues that ask five times their mean by turns of 4.5 s. */
+class turn_predictor_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(turn_predictor_test);
+    CPPUNIT_TEST(noticesAFirstTurnWithinHalfASecond);
+    CPPUNIT_TEST(preparesForTheNextPoolOnceAllHaveHadATurn);
+    CPPUNIT_TEST(expectsNothingBeforeAllHaveHadATurn);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void noticesAFirstTurnWithinHalfASecond()
+    {
+        play(milliseconds{500});
+        CPPUNIT_ASSERT(m_predictor.expectedCores("p0", m_now) > turnCores * 0.8);
+        CPPUNIT_ASSERT(m_predictor.expectedCores("p1", m_now) < turnCores * 0.1);
+    }
+
+    void preparesForTheNextPoolOnceAllHaveHadATurn()
+    {
+        // 1.5 s before the second turn of the first pool: the time of a move.
+        play(4 * turnTime - milliseconds{1500});
+        CPPUNIT_ASSERT(m_predictor.expectedCores("p0", m_now) > turnCores * 0.7);
+        play(milliseconds{1500} + turnTime - milliseconds{1500});
+        CPPUNIT_ASSERT(m_predictor.expectedCores("p1", m_now) > turnCores * 0.7);
+        CPPUNIT_ASSERT(m_predictor.expectedCores("p2", m_now) < turnCores * 0.1);
+    }
+
+    void expectsNothingBeforeAllHaveHadATurn()
+    {
+        play(3 * turnTime - milliseconds{1500});
+        CPPUNIT_ASSERT(m_predictor.expectedCores("p0", m_now) < turnCores * 0.1);
+    }
+
+private:
+    static constexpr milliseconds turnTime{4500};
+    static constexpr milliseconds tick{20};
+    static constexpr double turnCores{1000};
+    static constexpr int pools{4};
+
+    void play(milliseconds time)
+    {
+        for (const boot_time end = m_now + time; m_now < end; m_now += tick) {
+            const auto turn = ((m_now - m_begun) / turnTime) % pools;
+            for (int pool = 0; pool < pools; ++pool) {
+                const double cores = pool == turn ? turnCores : turnCores / 100;
+                m_predictor.note("p" + std::to_string(pool),
+                                 cores * static_cast<double>(tick.count()), m_now);
+            }
+        }
+    }
+
+    boot_time m_begun{std::chrono::seconds{100}};
+    boot_time m_now{m_begun};
+    turn_predictor m_predictor{{}};
+};
+
+class wave_planner_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(wave_planner_test);
+    CPPUNIT_TEST(emptyVmsGoFirstUpToTheBound);
+    CPPUNIT_TEST(busyVmsAreReservedInTime);
+    CPPUNIT_TEST(vmsWithShortRunsAreLeftAloneUntilItPresses);
+    CPPUNIT_TEST(isCompleteOnceAllAreFinishedOrGone);
+    CPPUNIT_TEST(progressSurvivesTheStore);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        for (int index = 0; index < 10; ++index) {
+            m_vms.push_back(idleVm("m" + std::to_string(index), "a", boot_time{}));
+            m_wave.vms.push_back(m_vms.back().vm);
+        }
+        m_wave.maxParallel = 3;
+        m_wave.deadline = m_now + std::chrono::seconds{60};
+    }
+
+    void emptyVmsGoFirstUpToTheBound()
+    {
+        m_vms[0].longRuns = 1;
+        m_progress.inMaintenance = {"m9"};
+        const wave_step step = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, step.begin.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"m1"}, step.begin.front());
+    }
+
+    void busyVmsAreReservedInTime()
+    {
+        for (vm_view &each : m_vms)
+            each.longRuns = 1;
+        const std::size_t early = plan().reserve.size();
+        m_now = m_wave.deadline - std::chrono::seconds{5};
+        CPPUNIT_ASSERT(early >= 1 && early < 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().reserve.size());
+    }
+
+    void vmsWithShortRunsAreLeftAloneUntilItPresses()
+    {
+        for (vm_view &each : m_vms)
+            each.shortRuns = 1;
+        CPPUNIT_ASSERT(plan().reserve.empty());
+        m_now = m_wave.deadline - std::chrono::seconds{10};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().reserve.size());
+    }
+
+    void isCompleteOnceAllAreFinishedOrGone()
+    {
+        CPPUNIT_ASSERT(!plan().completed);
+        for (int index = 0; index < 9; ++index)
+            m_progress.finished.insert("m" + std::to_string(index));
+        CPPUNIT_ASSERT(!plan().completed);
+        m_vms.pop_back();
+        CPPUNIT_ASSERT(plan().completed);
+    }
+
+    void progressSurvivesTheStore()
+    {
+        m_progress.finished = {"m1", "m2"};
+        const auto read = decodeWaveProgress(encodeWaveProgress(4, m_progress));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{4}, read.number);
+        CPPUNIT_ASSERT(read.progress.finished == m_progress.finished);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, decodeWaveProgress("{").number);
+    }
+
+private:
+    [[nodiscard]] wave_step plan() const { return planWave(m_wave, m_progress, m_vms, m_now, {}); }
+
+    wave_entry m_wave{};
+    wave_progress m_progress{};
+    std::vector<vm_view> m_vms{};
+    boot_time m_now{std::chrono::seconds{10}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(pool_planner_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(turn_predictor_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(wave_planner_test);
+
+} // namespace
--- /dev/null
+++ b/test/azurelb/control/control_test.cpp
@@ -0,0 +1,225 @@
+#include <support/fake_keyspace.hpp>
+
+#include <azurelb/control/executor_roster.hpp>
+#include <azurelb/control/leader_election.hpp>
+#include <azurelb/control/progress_writer.hpp>
+#include <azurelb/control/store_keys.hpp>
+#include <azurelb/jobs/job_codec.hpp>
+#include <azurelb/scheduling/scheduler.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::test;
+using std::chrono::milliseconds;
+
+constexpr char job[]{"aaaaaaaaaaaaaaaa"};
+
+class looping_test : public CppUnit::TestFixture
+{
+protected:
+    void run(milliseconds time)
+    {
+        m_loop.restart();
+        m_loop.run_for(time);
+    }
+
+    boost::asio::io_context m_loop{};
+    fake_keyspace m_store{m_loop};
+};
+
+class leader_election_test : public looping_test
+{
+    CPPUNIT_TEST_SUITE(leader_election_test);
+    CPPUNIT_TEST(oneOfTwoIsElected);
+    CPPUNIT_TEST(theOtherFollowsAResignation);
+    CPPUNIT_TEST(theOtherFollowsALostLease);
+    CPPUNIT_TEST(aLostAnswerDoesNotLoseTheKey);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void oneOfTwoIsElected()
+    {
+        start();
+        CPPUNIT_ASSERT_EQUAL(1, m_elected);
+        CPPUNIT_ASSERT(m_first->isElected() != m_second->isElected());
+    }
+
+    void theOtherFollowsAResignation()
+    {
+        start();
+        leader_election &leader = m_first->isElected() ? *m_first : *m_second;
+        leader.resign([] {});
+        run(milliseconds{150});
+        CPPUNIT_ASSERT_EQUAL(1, m_lost);
+        CPPUNIT_ASSERT_EQUAL(2, m_elected);
+        CPPUNIT_ASSERT(!leader.isElected());
+    }
+
+    void theOtherFollowsALostLease()
+    {
+        start();
+        m_store.endLease(1);
+        m_store.endLease(2);
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(1, m_lost);
+        CPPUNIT_ASSERT_EQUAL(2, m_elected);
+    }
+
+    void aLostAnswerDoesNotLoseTheKey()
+    {
+        m_store.lostCommits = 1;
+        start();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(1, m_elected);
+    }
+
+private:
+    void start()
+    {
+        const auto make = [this](const std::string &name, milliseconds delay) {
+            return std::make_unique<leader_election>(
+                m_loop, m_store, name, milliseconds{400}, delay,
+                [this](store_revision) { ++m_elected; }, [this] { ++m_lost; });
+        };
+        m_first = make("first", milliseconds{10});
+        m_second = make("second", milliseconds{20});
+        m_first->start();
+        m_second->start();
+        run(milliseconds{150});
+    }
+
+    int m_elected{0};
+    int m_lost{0};
+    std::unique_ptr<leader_election> m_first{};
+    std::unique_ptr<leader_election> m_second{};
+};
+
+class progress_writer_test : public looping_test
+{
+    CPPUNIT_TEST_SUITE(progress_writer_test);
+    CPPUNIT_TEST(storesProgressBeforeEndsAreAcknowledged);
+    CPPUNIT_TEST(writesAgainAfterALostAnswer);
+    CPPUNIT_TEST(isLostWithTheKey);
+    CPPUNIT_TEST(splitsLargeWrites);
+    CPPUNIT_TEST(enrolsExecutorsBeforeTheyAreUsed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_token = m_store.put(std::string{store_keys::owner}, "me");
+        m_writer = std::make_unique<progress_writer>(
+            m_loop, m_store, m_scheduler, m_token, [this] { ++m_stored; }, [this] { ++m_lost; });
+        executor_registration info;
+        info.id = "e1";
+        info.address = "127.0.0.1:1";
+        info.capacity = {8000, 8000, 0};
+        m_scheduler.registerExecutor(info, boot_clock::now());
+    }
+
+    void storesProgressBeforeEndsAreAcknowledged()
+    {
+        addJob(job);
+        end(job);
+        m_store.refuses = true;
+        flush();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, executor().storedEnds);
+        m_store.refuses = false;
+        run(milliseconds{250});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, executor().storedEnds);
+        CPPUNIT_ASSERT(stateOf(job) == job_state::completed);
+    }
+
+    void writesAgainAfterALostAnswer()
+    {
+        addJob(job);
+        end(job);
+        m_store.lostCommits = 2;
+        flush();
+        run(milliseconds{400});
+        CPPUNIT_ASSERT(stateOf(job) == job_state::completed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, executor().storedEnds);
+        CPPUNIT_ASSERT_EQUAL(0, m_lost);
+    }
+
+    void isLostWithTheKey()
+    {
+        m_store.put(std::string{store_keys::owner}, "another");
+        addJob(job);
+        end(job);
+        flush();
+        CPPUNIT_ASSERT_EQUAL(1, m_lost);
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobProgress(job)));
+    }
+
+    void splitsLargeWrites()
+    {
+        constexpr int count{40};
+        for (int index = 0; index < count; ++index) {
+            addJob("aaaaaaaaaaaaaa" + std::to_string(10 + index));
+            end("aaaaaaaaaaaaaa" + std::to_string(10 + index));
+        }
+        flush();
+        run(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{count}, executor().storedEnds);
+        CPPUNIT_ASSERT(m_store.commits >= 3);
+    }
+
+    void enrolsExecutorsBeforeTheyAreUsed()
+    {
+        CPPUNIT_ASSERT(!executor().enrolled);
+        flush();
+        CPPUNIT_ASSERT(executor().enrolled);
+        const keyspace_item *const entry = m_store.find(store_keys::executor("e1"));
+        CPPUNIT_ASSERT(entry);
+        CPPUNIT_ASSERT_EQUAL(std::string{"127.0.0.1:1"}, decodeRoster(entry->value)->address);
+    }
+
+private:
+    void addJob(const std::string &id)
+    {
+        job_record record;
+        record.id = id;
+        record.steps.resize(1);
+        record.steps.front().taskCount = 1;
+        m_scheduler.addJob(record, {}, 0, false, boot_clock::now());
+    }
+
+    void end(const std::string &id)
+    {
+        executor_report report;
+        report.ended.push_back({++m_sequence, {id, 0, 0, 0}, 1, run_end::done, {}});
+        m_scheduler.observe("e1", report, boot_clock::now(), boot_clock::now());
+    }
+
+    void flush()
+    {
+        m_writer->kick();
+        run(milliseconds{60});
+    }
+
+    [[nodiscard]] executor_entry &executor() { return *m_scheduler.executors().find("e1"); }
+
+    [[nodiscard]] job_state stateOf(const std::string &id) const
+    {
+        const keyspace_item *const item = m_store.find(store_keys::jobProgress(id));
+        return item ? decodeProgress(item->value)->state : job_state::pending;
+    }
+
+    scheduler m_scheduler{{}, 0};
+    store_revision m_token{0};
+    std::int64_t m_sequence{0};
+    int m_stored{0};
+    int m_lost{0};
+    std::unique_ptr<progress_writer> m_writer{};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leader_election_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(progress_writer_test);
+
+} // namespace
--- /dev/null
+++ b/test/azurelb/intake/job_intake_test.cpp
@@ -0,0 +1,124 @@
+#include <support/fake_keyspace.hpp>
+
+#include <azurelb/control/store_keys.hpp>
+#include <azurelb/intake/job_intake.hpp>
+#include <azurelb/jobs/job_codec.hpp>
+#include <azurelb/jobs/job_progress.hpp>
+#include <azurelb/jobs/job_record.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <optional>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::test;
+using std::chrono::milliseconds;
+
+constexpr char job[]{"aaaaaaaaaaaaaaaa"};
+constexpr milliseconds deadline{1000};
+
+class job_intake_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(job_intake_test);
+    CPPUNIT_TEST(storesOnce);
+    CPPUNIT_TEST(anotherSubmissionIsTheSameJob);
+    CPPUNIT_TEST(refusedIsTrue);
+    CPPUNIT_TEST(lostAnswerIsSettled);
+    CPPUNIT_TEST(outcomeThatStaysUnknownIsNotRefused);
+    CPPUNIT_TEST(cancelsOnlyWhatExists);
+    CPPUNIT_TEST(tellsTheState);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void storesOnce()
+    {
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobRecord(job)));
+    }
+
+    void anotherSubmissionIsTheSameJob()
+    {
+        submit();
+        const auto revision = m_store.find(store_keys::jobRecord(job))->revision;
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+        CPPUNIT_ASSERT_EQUAL(revision, m_store.find(store_keys::jobRecord(job))->revision);
+    }
+
+    void refusedIsTrue()
+    {
+        m_store.refuses = true;
+        CPPUNIT_ASSERT(submit() == intake_outcome::refused);
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(job)));
+    }
+
+    void lostAnswerIsSettled()
+    {
+        m_store.lostCommits = 2;
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+    }
+
+    void outcomeThatStaysUnknownIsNotRefused()
+    {
+        m_store.lostCommits = 1000;
+        CPPUNIT_ASSERT(submit() == intake_outcome::unknown);
+    }
+
+    void cancelsOnlyWhatExists()
+    {
+        CPPUNIT_ASSERT(cancel() == intake_outcome::missing);
+        submit();
+        CPPUNIT_ASSERT(cancel() == intake_outcome::done);
+        CPPUNIT_ASSERT(cancel() == intake_outcome::done);
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobCancel(job)));
+    }
+
+    void tellsTheState()
+    {
+        CPPUNIT_ASSERT(state().outcome == intake_outcome::missing);
+        submit();
+        CPPUNIT_ASSERT(state().outcome == intake_outcome::done);
+        CPPUNIT_ASSERT(state().state == job_state::pending);
+        m_store.put(store_keys::jobProgress(job),
+                    encode(job_progress{job_state::completed, {}, {}}));
+        CPPUNIT_ASSERT(state().state == job_state::completed);
+        m_store.refuses = true;
+        CPPUNIT_ASSERT(state().outcome == intake_outcome::refused);
+    }
+
+private:
+    template <typename Result>
+    Result await(boost::asio::awaitable<Result> operation)
+    {
+        std::optional<Result> result;
+        boost::asio::co_spawn(m_loop, std::move(operation),
+                              [&result](std::exception_ptr, Result ended) { result = ended; });
+        m_loop.restart();
+        while (!result && m_loop.run_one_for(2 * deadline) > 0) {
+        }
+        CPPUNIT_ASSERT(result.has_value());
+        return *result;
+    }
+
+    intake_outcome submit()
+    {
+        job_record record;
+        record.id = job;
+        return await(m_intake.submit(record, deadline));
+    }
+
+    intake_outcome cancel() { return await(m_intake.cancel(job, deadline)); }
+    state_result state() { return await(m_intake.state(job, deadline)); }
+
+    boost::asio::io_context m_loop{};
+    fake_keyspace m_store{m_loop};
+    job_intake m_intake{m_loop, m_store};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(job_intake_test);
+
+} // namespace
--- /dev/null
+++ b/test/azurelb/jobs/codec_test.cpp
@@ -0,0 +1,111 @@
+#include <azurelb/jobs/job_codec.hpp>
+#include <azurelb/jobs/job_progress.hpp>
+#include <azurelb/jobs/job_record.hpp>
+#include <azurelb/jobs/task_id.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace azurelb;
+
+job_record sampleJob()
+{
+    job_record job;
+    job.id = "5c0e7a21d94b36f8";
+    job.queue = "seating";
+    job.pool = "lofts";
+    job.team = "lecco";
+    job.configVersion = 7;
+    job.acceptedAt = std::chrono::milliseconds{1'700'000'000'000};
+    job.spec = "text with \"quotes\"";
+    job.repeats = 3;
+    job.firstDue = std::chrono::milliseconds{1'700'000'001'000};
+    job.interval = std::chrono::milliseconds{2000};
+    job_step step;
+    step.taskCount = 4;
+    step.request = {3300, 3400, 1};
+    step.estimate = std::chrono::milliseconds{800};
+    step.after = {0};
+    step.requiredLabel = "a";
+    step.preferredRack = "r1-2";
+    step.mostPerExecutor = 2;
+    step.latencyTarget = std::chrono::milliseconds{90};
+    step.limitsUnavailable = true;
+    step.maxUnavailable = 1;
+    step.gang = step.sameRack = step.savesCheckpoints = true;
+    step.allowsCopies = step.longRunning = step.backfill = true;
+    step.image = "image-1";
+    job.steps = {job_step{}, step};
+    job.steps.front().taskCount = 1;
+    return job;
+}
+
+class codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(codec_test);
+    CPPUNIT_TEST(recordSurvivesTheStore);
+    CPPUNIT_TEST(progressSurvivesTheStore);
+    CPPUNIT_TEST(finalProgressIsSmall);
+    CPPUNIT_TEST(damagedValuesGiveNothing);
+    CPPUNIT_TEST(taskNamesAreRead);
+    CPPUNIT_TEST(malformedTaskNamesGiveNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void recordSurvivesTheStore()
+    {
+        const auto read = decodeJob(encode(sampleJob()));
+        CPPUNIT_ASSERT(read.has_value());
+        // Encoding is a function of all fields.
+        CPPUNIT_ASSERT_EQUAL(encode(sampleJob()), encode(*read));
+        CPPUNIT_ASSERT(read->steps.at(1).request == sampleJob().steps.at(1).request);
+        CPPUNIT_ASSERT(read->steps.at(1).backfill && read->steps.at(1).limitsUnavailable);
+        CPPUNIT_ASSERT(read->interval == sampleJob().interval);
+    }
+
+    void progressSurvivesTheStore()
+    {
+        const job_progress progress{job_state::running, {0, 2}, {{1, 0, 3, true, 1, 77, "0b"}}};
+        const auto read = decodeProgress(encode(progress));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->state == job_state::running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->completedOccurrences.size());
+        const task_progress &task = read->tasks.at(0);
+        CPPUNIT_ASSERT_EQUAL(run_number{77}, task.lastEndedRun);
+        CPPUNIT_ASSERT_EQUAL(3U, task.index);
+        CPPUNIT_ASSERT(task.done);
+        CPPUNIT_ASSERT_EQUAL(std::string{"0b"}, task.checkpoint);
+    }
+
+    void finalProgressIsSmall()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"state":"completed"})"},
+                             encode(job_progress{job_state::completed, {}, {}}));
+    }
+
+    void damagedValuesGiveNothing()
+    {
+        for (const char *const each : {"", "[]", "{", R"({"steps":1})", R"({"steps":[{}]})"})
+            CPPUNIT_ASSERT(!decodeJob(each));
+        CPPUNIT_ASSERT(!decodeProgress("[1]"));
+        CPPUNIT_ASSERT(!decodeProgress(R"({"state":"running","tasks":[[1]]})"));
+    }
+
+    void taskNamesAreRead()
+    {
+        const task_id task{"5c0e7a21d94b36f8", 2, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string{"5c0e7a21d94b36f8.2.1.17"}, toString(task));
+        CPPUNIT_ASSERT(parseTaskId(toString(task)) == task);
+    }
+
+    void malformedTaskNamesGiveNothing()
+    {
+        for (const char *const each : {"", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.2.", "a.-1.2.3"})
+            CPPUNIT_ASSERT(!parseTaskId(each));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
+
+} // namespace
--- /dev/null
+++ b/test/azurelb/scheduling/fake_executor.cpp
@@ -0,0 +1,124 @@
+#include "fake_executor.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurelb::test {
+
+using std::chrono::milliseconds;
+
+fake_executor::fake_executor(const executor_registration &info, double clockRate, boot_time now)
+    : m_info{info}
+    , m_clockRate{clockRate}
+    , m_begun{now}
+{ }
+
+milliseconds fake_executor::clock(boot_time now) const
+{
+    return milliseconds{
+        static_cast<milliseconds::rep>(static_cast<double>((now - m_begun).count()) * m_clockRate)};
+}
+
+start_outcome fake_executor::start(const start_order &order, std::int64_t token,
+                                   const run_plan &plan, boot_time now)
+{
+    advance(now);
+    if (token < m_token)
+        return start_outcome::fenced;
+    m_token = token;
+    const auto found = m_running.find(order.task);
+    if (found != m_running.end())
+        return found->second.run == order.run ? start_outcome::started : start_outcome::outdated;
+    const auto highest = m_highestEnded.find(order.task);
+    if (highest != m_highestEnded.end() && order.run <= highest->second)
+        return start_outcome::outdated;
+    if (order.leaseEnd <= clock(now))
+        return start_outcome::expired;
+    m_leaseEnd = std::max(m_leaseEnd, order.leaseEnd);
+    m_running[order.task] = {order.run, now, plan};
+    return start_outcome::started;
+}
+
+start_outcome fake_executor::stop(const stop_order &order, std::int64_t token, boot_time now)
+{
+    advance(now);
+    if (token < m_token)
+        return start_outcome::fenced;
+    m_token = token;
+    run_number &highest = m_highestEnded[order.task];
+    highest = std::max(highest, order.run);
+    const auto found = m_running.find(order.task);
+    if (found != m_running.end() && found->second.run <= order.run)
+        end(order.task, run_end::stopped);
+    return start_outcome::started;
+}
+
+std::optional<executor_report> fake_executor::hold(std::int64_t token, std::int64_t acknowledged,
+                                                   std::optional<milliseconds> leaseEnd,
+                                                   boot_time now)
+{
+    advance(now);
+    if (token < m_token)
+        return std::nullopt;
+    m_token = token;
+    if (leaseEnd)
+        m_leaseEnd = std::max(m_leaseEnd, *leaseEnd);
+    const auto forgotten =
+        std::stable_partition(m_ended.begin(), m_ended.end(), [acknowledged](const auto &each) {
+            return each.sequence <= acknowledged;
+        });
+    m_acknowledged.insert(m_acknowledged.end(), m_ended.begin(), forgotten);
+    m_ended.erase(m_ended.begin(), forgotten);
+    executor_report report;
+    report.clock = clock(now);
+    report.born = m_info.born;
+    report.ended = m_ended;
+    for (const auto &[task, run] : m_running) {
+        const auto share =
+            (now - run.startedAt) * 99 / std::max(run.plan.duration, milliseconds{1});
+        report.running.push_back({task, run.run, {}, static_cast<int>(share), 0});
+    }
+    return report;
+}
+
+void fake_executor::end(const task_id &task, run_end how)
+{
+    const active_run run = m_running.at(task);
+    m_running.erase(task);
+    run_number &highest = m_highestEnded[task];
+    highest = std::max(highest, run.run);
+    m_ended.push_back({++m_sequence, task, run.run, how, {}});
+}
+
+void fake_executor::advance(boot_time now)
+{
+    const bool lapsed = clock(now) >= m_leaseEnd;
+    std::vector<std::pair<task_id, run_end>> over;
+    for (const auto &[task, run] : m_running) {
+        if (now - run.startedAt >= run.plan.duration)
+            over.emplace_back(task, run.plan.end);
+        else if (lapsed)
+            over.emplace_back(task, run_end::lease_expired);
+    }
+    for (const auto &[task, how] : over)
+        end(task, how);
+}
+
+void fake_executor::crash(boot_time now)
+{
+    m_running.clear();
+    m_highestEnded.clear();
+    m_ended.clear();
+    m_sequence = 0;
+    m_token = 0;
+    m_leaseEnd = milliseconds{0};
+    m_begun = now;
+    ++m_info.born;
+}
+
+std::vector<ended_run> fake_executor::takeAcknowledged()
+{
+    return std::exchange(m_acknowledged, {});
+}
+
+} // namespace azurelb::test
--- /dev/null
+++ b/test/azurelb/scheduling/fake_executor.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <azurelb/core/boot_clock.hpp>
+#include <azurelb/scheduling/executor_registration.hpp>
+#include <azurelb/scheduling/executor_report.hpp>
+#include <azurelb/scheduling/orders.hpp>
+#include <azurelb/scheduling/start_outcome.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azurelb::test {
+
+/** How long a run takes and how it ends. */
+struct run_plan
+{
+    std::chrono::milliseconds duration{800};
+    run_end end{run_end::done};
+};
+
+/** An executor by the platform's rules: fencing, leases on its own clock, a list of ends. */
+class fake_executor
+{
+public:
+    struct active_run
+    {
+        run_number run{0};
+        boot_time startedAt{};
+        run_plan plan{};
+    };
+
+    fake_executor(const executor_registration &info, double clockRate, boot_time now);
+
+    [[nodiscard]] start_outcome start(const start_order &order, std::int64_t token,
+                                      const run_plan &plan, boot_time now);
+    [[nodiscard]] start_outcome stop(const stop_order &order, std::int64_t token, boot_time now);
+    /** Nothing if the token is outdated. */
+    [[nodiscard]] std::optional<executor_report>
+    hold(std::int64_t token, std::int64_t acknowledged,
+         std::optional<std::chrono::milliseconds> leaseEnd, boot_time now);
+
+    /** Ends the runs whose time or whose lease is over. */
+    void advance(boot_time now);
+
+    /** All runs end; a new life begins under the same identifier. */
+    void crash(boot_time now);
+
+    [[nodiscard]] const executor_registration &info() const noexcept { return m_info; }
+    [[nodiscard]] const std::map<task_id, active_run> &running() const noexcept
+    {
+        return m_running;
+    }
+    /** Ends that have been acknowledged since the last call. */
+    [[nodiscard]] std::vector<ended_run> takeAcknowledged();
+
+private:
+    [[nodiscard]] std::chrono::milliseconds clock(boot_time now) const;
+    void end(const task_id &task, run_end how);
+
+    executor_registration m_info;
+    double m_clockRate;
+    boot_time m_begun;
+    std::int64_t m_token{0};
+    std::chrono::milliseconds m_leaseEnd{0};
+    std::int64_t m_sequence{0};
+    std::map<task_id, active_run> m_running{};
+    std::map<task_id, run_number> m_highestEnded{};
+    std::vector<ended_run> m_ended{};
+    std::vector<ended_run> m_acknowledged{};
+};
+
+} // namespace azurelb::test
--- /dev/null
+++ b/test/azurelb/scheduling/overload_test.cpp
@@ -0,0 +1,82 @@
+#include "virtual_world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdio>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::test;
+using std::chrono::milliseconds;
+
+constexpr unsigned jobs{200};
+/** One job each 20 ms asks for 40 cores where there are 32. */
+constexpr milliseconds arrivalInterval{20};
+constexpr milliseconds jobTime{800};
+
+std::string jobName(unsigned index)
+{
+    char name[17];
+    std::snprintf(name, sizeof name, "%016x", index);
+    return name;
+}
+
+/** Replays a turn that asks for more than its pool holds. */
+class overload_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(overload_test);
+    CPPUNIT_TEST(newestFirstServesMoreInTimeThanLeastSlack);
+    CPPUNIT_TEST(everyAcceptedJobIsCompletedOnceTheTurnIsOver);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void newestFirstServesMoreInTimeThanLeastSlack()
+    {
+        const unsigned newest = servedInTime(queue_order::newest_first);
+        const unsigned slack = servedInTime(queue_order::least_slack);
+        // The pool has room for four fifths of the turn: that part can be served in time.
+        CPPUNIT_ASSERT(newest >= jobs * 7 / 10);
+        CPPUNIT_ASSERT(newest > slack);
+    }
+
+    void everyAcceptedJobIsCompletedOnceTheTurnIsOver()
+    {
+        virtual_world world{{.order = queue_order::newest_first}};
+        play(world);
+        for (unsigned index = 0; index < jobs; ++index)
+            CPPUNIT_ASSERT(world.stateOf(jobName(index)) == job_state::completed);
+    }
+
+private:
+    static void play(virtual_world &world)
+    {
+        world.setPlan([](const task_id &) { return run_plan{jobTime, run_end::done}; });
+        world.addExecutor("e1");
+        world.addExecutor("e2");
+        world.advance(milliseconds{500});
+        for (unsigned index = 0; index < jobs; ++index) {
+            world.submit(makeJob(jobName(index), 1, 1000));
+            world.advance(arrivalInterval);
+        }
+        world.advance(milliseconds{15'000});
+    }
+
+    static unsigned servedInTime(queue_order order)
+    {
+        virtual_world world{{.order = order}};
+        play(world);
+        unsigned served = 0;
+        for (unsigned index = 0; index < jobs; ++index) {
+            const job_entry *const job =
+                std::as_const(world.decisions()).jobs().find(jobName(index));
+            const auto end = world.endOf(jobName(index));
+            served += end && *end - job->acceptedAt <= job->objective ? 1 : 0;
+        }
+        return served;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(overload_test);
+
+} // namespace
--- /dev/null
+++ b/test/azurelb/scheduling/scheduler_fuzz_test.cpp
@@ -0,0 +1,199 @@
+#include "virtual_world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+#include <cstdio>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::test;
+using std::chrono::milliseconds;
+
+enum class action {
+    submit,
+    submit_chain,
+    submit_gang,
+    submit_lasting,
+    cancel,
+    take_over,
+    replace_owner,
+    crash,
+    cut,
+    heal,
+    lose_answers,
+    delay_orders,
+    store_down,
+    store_up,
+    pass_time
+};
+
+constexpr int actionCount{static_cast<int>(action::pass_time) + 1};
+constexpr unsigned executorCount{4};
+
+std::string jobName(unsigned index)
+{
+    char name[17];
+    std::snprintf(name, sizeof name, "%016x", index);
+    return name;
+}
+
+std::string executorName(unsigned index)
+{
+    return "e" + std::to_string(index % executorCount);
+}
+
+/** Plays one sequence of commands against the oracle of virtual_world. */
+class played_sequence
+{
+public:
+    played_sequence()
+    {
+        m_world.config.teams.front().limit = {24'000, 0, 0};
+        m_world.decisions().apply(m_world.config);
+        m_world.setPlan([](const task_id &task) {
+            const auto spread = std::hash<task_id>{}(task) % 1500;
+            const bool fails = std::hash<task_id>{}(task) % 11 == 0;
+            return run_plan{milliseconds{200 + static_cast<int>(spread)},
+                            fails ? run_end::failed : run_end::done};
+        });
+        for (unsigned index = 0; index < executorCount; ++index)
+            m_world.addExecutor(executorName(index), "pool", index == 0 ? 0.98 : 1.0);
+    }
+
+    void play(action what, unsigned argument)
+    {
+        switch (what) {
+        case action::submit:
+            submit(makeJob(jobName(m_jobs), 1 + argument % 6, 2000));
+            break;
+        case action::submit_chain: {
+            job_record job = makeJob(jobName(m_jobs), 1 + argument % 4);
+            job.steps.push_back(job.steps.front());
+            job.steps.back().after.push_back(0);
+            submit(job);
+            break;
+        }
+        case action::submit_gang: {
+            job_record job = makeJob(jobName(m_jobs), 2 + argument % 3);
+            job.steps.front().gang = true;
+            submit(job);
+            break;
+        }
+        case action::submit_lasting: {
+            job_record job = makeJob(jobName(m_jobs), 1 + argument % 3);
+            job.steps.front().longRunning = true;
+            m_lasting.push_back(job.id);
+            submit(job);
+            break;
+        }
+        case action::cancel:
+            if (m_jobs > 0)
+                m_world.cancel(jobName(argument % m_jobs));
+            break;
+        case action::take_over:
+            m_world.takeOver();
+            break;
+        case action::replace_owner:
+            m_world.replaceOwner();
+            break;
+        case action::crash:
+            m_world.crash(executorName(argument));
+            break;
+        case action::cut:
+            m_world.cut(executorName(argument), true);
+            break;
+        case action::heal:
+            m_world.cut(executorName(argument), false);
+            break;
+        case action::lose_answers:
+            m_world.loseAnswers(1 + argument % 3);
+            break;
+        case action::delay_orders:
+            m_world.delayOrders(1 + argument % 3, milliseconds{500 + argument % 4000});
+            break;
+        case action::store_down:
+            m_world.setStoreDown(true);
+            break;
+        case action::store_up:
+            m_world.setStoreDown(false);
+            break;
+        case action::pass_time:
+            break;
+        }
+        m_world.advance(milliseconds{20 + static_cast<int>(argument % 700)});
+    }
+
+    /**
+     * After all faults are over every job that can be done must be. Long-running jobs are
+     * cancelled first, as they may hold all that the team may run.
+     */
+    void settle()
+    {
+        m_world.setStoreDown(false);
+        for (const job_id &each : m_lasting)
+            m_world.cancel(each);
+        for (unsigned index = 0; index < executorCount; ++index)
+            m_world.cut(executorName(index), false);
+        m_world.advance(milliseconds{40'000});
+    }
+
+    void check()
+    {
+        for (const std::string &each : m_world.violations())
+            RC_FAIL(each);
+    }
+
+    void checkSettled()
+    {
+        for (unsigned index = 0; index < m_jobs; ++index) {
+            const job_entry *const job =
+                std::as_const(m_world.decisions()).jobs().find(jobName(index));
+            const bool lasting = job && job->record.steps.front().longRunning;
+            if (!lasting && !isFinal(m_world.stateOf(jobName(index))))
+                RC_FAIL("not completed: " + jobName(index));
+        }
+    }
+
+private:
+    void submit(const job_record &job)
+    {
+        m_world.submit(job);
+        ++m_jobs;
+    }
+
+    virtual_world m_world{};
+    unsigned m_jobs{0};
+    std::vector<job_id> m_lasting{};
+};
+
+class scheduler_fuzz_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(scheduler_fuzz_test);
+    CPPUNIT_TEST(keepsTheRulesUnderFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void keepsTheRulesUnderFaults()
+    {
+        const bool held = rc::check("rules hold", [] {
+            const auto commands = *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
+                rc::gen::pair(rc::gen::inRange(0, actionCount), rc::gen::inRange(0U, 100'000U)));
+            played_sequence sequence;
+            for (const auto &[what, argument] : commands) {
+                sequence.play(static_cast<action>(what), argument);
+                sequence.check();
+            }
+            sequence.settle();
+            sequence.check();
+            sequence.checkSettled();
+        });
+        CPPUNIT_ASSERT(held);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(scheduler_fuzz_test);
+
+} // namespace
--- /dev/null
+++ b/test/support/fake_keyspace.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <azurelb/keyspace/keyspace.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azurelb::test {
+
+/** The store in memory, with faults on command. Answers come by the event loop. */
+class fake_keyspace final : public keyspace
+{
+public:
+    explicit fake_keyspace(boost::asio::io_context &loop);
+
+    void get(const std::string &key, range_handler done) override;
+    void range(const std::string &prefix, const std::string &after, range_handler done) override;
+    void commit(const keyspace_write &write, commit_handler done) override;
+    void grant(std::chrono::milliseconds term, lease_handler done) override;
+    void renew(store_lease_id lease, lease_handler done) override;
+    void revoke(store_lease_id lease, lease_handler done) override;
+    void watch(const std::string &prefix, store_revision after, std::chrono::milliseconds wait,
+               changes_handler done) override;
+
+    /** Writes a key as another client would. */
+    store_revision put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    void endLease(store_lease_id lease);
+    /** The changes up to now are no longer available to watches. */
+    void dropHistory() { m_firstRevision = m_revision + 1; }
+
+    [[nodiscard]] const keyspace_item *find(const std::string &key) const;
+
+    /** Calls are refused without effect. */
+    bool refuses{false};
+    /** The next commits take effect, but their answers are lost. */
+    unsigned lostCommits{0};
+    /** Number of items in one page. */
+    std::size_t pageSize{2};
+    unsigned commits{0};
+
+private:
+    struct waiting_watch
+    {
+        std::string prefix{};
+        store_revision after{0};
+        changes_handler done{};
+    };
+
+    void apply(const keyspace_write &write);
+    void change(keyspace_item item);
+    void answerWatches();
+    [[nodiscard]] keyspace_changes changesOf(const std::string &prefix, store_revision after) const;
+    template <typename Handler, typename Result>
+    void reply(Handler done, Result result);
+
+    boost::asio::io_context &m_loop;
+    std::map<std::string, keyspace_item> m_items{};
+    std::map<std::string, store_lease_id> m_leases{};
+    std::vector<keyspace_item> m_history{};
+    std::vector<waiting_watch> m_watches{};
+    store_revision m_revision{1};
+    store_revision m_firstRevision{0};
+    store_lease_id m_lastLease{0};
+    std::map<store_lease_id, bool> m_liveLeases{};
+};
+
+} // namespace azurelb::test
