Logs on standard output, bounded and never blocking; metrics of intake and owner

Cause: on-call engineers have only logs and metrics; ends of jobs and of runs were not logged. Ruled out: Boost.Log's console sink (blocks on a full pipe). The scheduler stays pure: it hands out notices, the owner writes and counts them.

--- a/src/azurelb/control/fwd.hpp
+++ b/src/azurelb/control/fwd.hpp
@@ -12,6 +12,7 @@
 class executor_gateway;
 class leader_election;
 class owner;
+class owner_metrics;
 class progress_writer;
 class vm_service;
 
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -239,6 +239,7 @@
 void owner::begin()
 {
     m_began = true;
+    m_with.figures.noteOwnerChange();
     logEvent(event::owner_ready,
              {{"token", m_token},
               {"jobs", m_scheduler.jobs().size()},
@@ -401,6 +402,8 @@
         m_endedLives.insert(lifeOf(each.executor, each.born));
         m_writer.removeExecutor(each.executor);
     }
+    for (const scheduling_notice &each : m_scheduler.takeNotices())
+        m_with.figures.note(each);
     m_writer.kick();
 }
 
@@ -429,6 +432,7 @@
                 m_onLost("an executor follows a newer owner");
                 return;
             }
+            m_with.figures.noteStart(outcome);
             if (outcome != start_outcome::started)
                 logEvent(event::run_not_started,
                          {{"task", toString(order.task)},
@@ -511,6 +515,7 @@
     }
     std::string text = json::serialize(counts);
     m_publishedAt = boot_clock::now();
+    m_with.figures.notePools(m_scheduler.loads(m_publishedAt));
     if (text == m_publishedWaiting)
         return;
     const keyspace_write write{{{std::string{store_keys::owner}, m_token}},
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -5,6 +5,7 @@
 #include <azurelb/control/executor_directory.hpp>
 #include <azurelb/control/executor_gateway.hpp>
 #include <azurelb/control/fwd.hpp>
+#include <azurelb/control/owner_metrics.hpp>
 #include <azurelb/control/progress_writer.hpp>
 #include <azurelb/control/vm_manager.hpp>
 #include <azurelb/keyspace/prefix_follower.hpp>
@@ -56,6 +57,7 @@
         confirmed_source confirmedAt;
         /** Tells the operators where a wave stands. */
         wave_publisher publishWave;
+        owner_metrics &figures;
     };
 
     owner(services with, const scheduling_options &options, const vm_manager::options &vmOptions,
--- /dev/null
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -0,0 +1,110 @@
+#include <azurelb/control/owner_metrics.hpp>
+#include <azurelb/log/log.hpp>
+#include <azurelb/metrics/metrics.hpp>
+#include <azurelb/scheduling/start_outcome.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+
+#include <vector>
+
+namespace azurelb {
+
+namespace {
+
+/** Seconds; objectives lie between 1 and 20 s. */
+const std::vector<double> timeBounds{0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 13, 21};
+constexpr double millisPerSecond{1000};
+
+double inSeconds(std::chrono::milliseconds time)
+{
+    return static_cast<double>(time.count()) / millisPerSecond;
+}
+
+} // namespace
+
+owner_metrics::owner_metrics(metrics &registry)
+    : m_registry{registry}
+{ }
+
+void owner_metrics::note(const scheduling_notice &notice)
+{
+    std::visit([this](const auto &each) { write(each); }, notice);
+}
+
+void owner_metrics::write(const job_started_notice &notice)
+{
+    m_registry
+        .histogram("azurelb_job_wait_seconds", "From acceptance to the first start.", timeBounds)
+        .Observe(inSeconds(notice.waited));
+}
+
+void owner_metrics::write(const job_ended_notice &notice)
+{
+    logEvent(event::job_ended,
+             {{"job", notice.job},
+              {"queue", notice.queue},
+              {"state", toString(notice.state)},
+              {"elapsed_ms", notice.elapsed.count()},
+              {"objective_ms", notice.objective.count()}});
+    m_registry
+        .counter("azurelb_jobs_ended_total", "Jobs that are over.",
+                 {{"state", std::string{toString(notice.state)}}})
+        .Increment();
+    if (notice.state == job_state::completed)
+        m_registry.histogram("azurelb_job_seconds", "From acceptance to completion.", timeBounds)
+            .Observe(inSeconds(notice.elapsed));
+}
+
+void owner_metrics::write(const run_ended_notice &notice)
+{
+    logEvent(event::run_ended,
+             {{"task", toString(notice.task)},
+              {"run", notice.run},
+              {"end", toString(notice.end)},
+              {"executor", notice.executor}});
+    m_registry
+        .counter("azurelb_runs_interrupted_total", "Runs that did not complete their task.",
+                 {{"end", std::string{toString(notice.end)}}})
+        .Increment();
+}
+
+void owner_metrics::write(const executor_suspended_notice &notice)
+{
+    logEvent(event::executor_suspended, {{"executor", notice.executor}, {"reason", notice.reason}});
+    m_registry.counter("azurelb_executors_suspended_total", "Suspensions of executors.")
+        .Increment();
+}
+
+void owner_metrics::noteOwnerChange()
+{
+    m_registry.counter("azurelb_owner_elections_total", "Times this daemon became owner.")
+        .Increment();
+}
+
+void owner_metrics::noteStart(start_outcome outcome)
+{
+    m_registry
+        .counter("azurelb_starts_total", "Orders to start a run.",
+                 {{"outcome", std::string{toString(outcome)}}})
+        .Increment();
+}
+
+void owner_metrics::notePools(const std::unordered_map<std::string, pool_load> &loads)
+{
+    constexpr double millisPerCore{1000};
+    for (const auto &[pool, load] : loads) {
+        const auto set = [this, name = pool](const char *metric, const char *help, double value) {
+            m_registry.gauge(metric, help, {{"pool", name}}).Set(value);
+        };
+        set("azurelb_pool_open_cores", "Cores that open tasks ask for.",
+            static_cast<double>(load.demand.cpu) / millisPerCore);
+        set("azurelb_pool_long_running_cores", "Cores that long-running tasks ask for.",
+            static_cast<double>(load.lasting.cpu) / millisPerCore);
+        set("azurelb_pool_executors", "Executors that take new runs.",
+            static_cast<double>(load.executors));
+    }
+}
+
+} // namespace azurelb
--- /dev/null
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <azurelb/control/fwd.hpp>
+#include <azurelb/metrics/fwd.hpp>
+#include <azurelb/scheduling/notices.hpp>
+#include <azurelb/scheduling/pool_load.hpp>
+
+#include <string>
+#include <unordered_map>
+
+namespace azurelb {
+
+/** Logs and counts what an owner decides. Labels are pools, states and kinds of ends: few. */
+class owner_metrics
+{
+public:
+    explicit owner_metrics(metrics &registry);
+
+    void note(const scheduling_notice &notice);
+    void noteOwnerChange();
+    void noteStart(start_outcome outcome);
+    void notePools(const std::unordered_map<std::string, pool_load> &loads);
+
+private:
+    void write(const job_started_notice &notice);
+    void write(const job_ended_notice &notice);
+    void write(const run_ended_notice &notice);
+    void write(const executor_suspended_notice &notice);
+
+    metrics &m_registry;
+};
+
+} // namespace azurelb
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -60,7 +60,7 @@
     {event::job_cancelled, severity::info, "job_cancelled"},
     {event::job_outcome_unknown, severity::warning, "job_outcome_unknown"},
     {event::job_ended, severity::info, "job_ended"},
-    {event::run_ordered, severity::debug, "run_ordered"},
+    {event::run_ordered, severity::info, "run_ordered"},
     {event::run_not_started, severity::info, "run_not_started"},
     {event::run_stop_ordered, severity::info, "run_stop_ordered"},
     {event::run_ended, severity::info, "run_ended"},
--- a/src/azurelb/log/log.cpp
+++ b/src/azurelb/log/log.cpp
@@ -1,16 +1,22 @@
 #include <azurelb/log/event_entry.hpp>
+#include <azurelb/log/line_budget.hpp>
+#include <azurelb/log/line_writer.hpp>
 #include <azurelb/log/log.hpp>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+
+#include <boost/make_shared.hpp>
 
 #include <cstdio>
-#include <iostream>
+
+#include <unistd.h>
 
 namespace azurelb {
 
@@ -24,6 +30,33 @@
     return instance;
 }
 
+/** Lines of one event in a second: several times what one daemon decides on at its peak, and
+    under 1 % of a core. */
+constexpr std::uint32_t linesPerSecond{400};
+
+line_budget &lineBudget()
+{
+    static line_budget instance{linesPerSecond};
+    return instance;
+}
+
+bool &lastLineLost()
+{
+    static bool lost = false;
+    return lost;
+}
+
+/** Hands lines to standard output without ever blocking. */
+class output_backend final : public boost::log::sinks::basic_formatted_sink_backend<
+                                 char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    void consume(const boost::log::record_view &, const std::string &line)
+    {
+        lastLineLost() = !writeLine(STDOUT_FILENO, line);
+    }
+};
+
 std::string &vmName()
 {
     static std::string name;
@@ -75,12 +108,13 @@
     namespace expressions = boost::log::expressions;
     vmName() = options.vm;
     boost::log::add_common_attributes();
-    boost::log::add_console_log(
-        std::cerr, boost::log::keywords::auto_flush = true,
-        boost::log::keywords::format = expressions::stream
-            << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp",
-                                                                       "%Y-%m-%dT%H:%M:%S.%f")
-            << ' ' << expressions::smessage);
+    using output_sink = boost::log::sinks::synchronous_sink<output_backend>;
+    auto sink = boost::make_shared<output_sink>(boost::make_shared<output_backend>());
+    sink->set_formatter(expressions::stream
+                        << expressions::format_date_time<boost::posix_time::ptime>(
+                               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                        << ' ' << expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
     boost::log::core::get()->set_filter(expressions::attr<severity>("Severity") >= options.least);
 }
 
@@ -91,10 +125,19 @@
     boost::log::record record = sink.open_record(boost::log::keywords::severity = entry.level);
     if (!record)
         return;
+    const line_budget::verdict verdict = lineBudget().admit(id, std::chrono::steady_clock::now());
+    if (!verdict.write)
+        return;
+    std::string line = makeLine(entry, fields);
+    if (verdict.leftOut > 0)
+        appendField(line, "left_out", std::to_string(verdict.leftOut));
     boost::log::record_ostream stream{record};
-    stream << makeLine(entry, fields);
+    stream << line;
     stream.flush();
+    lastLineLost() = false;
     sink.push_record(std::move(record));
+    if (lastLineLost())
+        lineBudget().noteLost(id);
 }
 
 } // namespace azurelb
--- a/src/azurelb/log/log.hpp
+++ b/src/azurelb/log/log.hpp
@@ -17,7 +17,11 @@
     std::string vm;
 };
 
-/** Sets the process's log up: one line each on standard error. Call once, before any thread. */
+/**
+ * Sets the process's log up: one line each on standard output. Call once, before any thread. A
+ * reader that stands still costs lines, never time; the next line of an event tells how many of it
+ * were left out.
+ */
 void openLog(const log_options &options);
 
 /**
--- /dev/null
+++ b/src/azurelb/scheduling/notices.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <azurelb/jobs/job_state.hpp>
+#include <azurelb/jobs/task_id.hpp>
+#include <azurelb/scheduling/fwd.hpp>
+#include <azurelb/scheduling/run_end.hpp>
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azurelb {
+
+/** The first task of a job was placed. */
+struct job_started_notice
+{
+    job_id job{};
+    std::string queue{};
+    std::chrono::milliseconds waited{0};
+};
+
+/** A job is over. */
+struct job_ended_notice
+{
+    job_id job{};
+    std::string queue{};
+    job_state state{job_state::completed};
+    std::chrono::milliseconds elapsed{0};
+    std::chrono::milliseconds objective{0};
+};
+
+/** A run ended in another way than by completing its task. */
+struct run_ended_notice
+{
+    task_id task{};
+    run_number run{0};
+    run_end end{run_end::failed};
+    executor_id executor{};
+};
+
+/** An executor gets single runs until one is done. */
+struct executor_suspended_notice
+{
+    executor_id executor{};
+    std::string reason{};
+};
+
+/** What the scheduler found, for logs and metrics. */
+using scheduling_notice =
+    std::variant<job_started_notice, job_ended_notice, run_ended_notice, executor_suspended_notice>;
+using scheduling_notices = std::vector<scheduling_notice>;
+
+} // namespace azurelb
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -222,6 +222,9 @@
     assignment held = makeAssignment(*step.job, record.steps[step.step], run);
     held.requestedAt = now;
     m_executors.assign(executor, task, std::move(held));
+    if (step.job->state == job_state::pending)
+        m_notices.emplace_back(
+            job_started_notice{record.id, record.queue, now - step.occurrence->due});
     m_jobs.assign(task, executor.info.id);
     const milliseconds leaseEnd = m_executors.leaseEnd(executor, now);
     m_executors.noteLease(executor, leaseEnd);
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -56,8 +56,17 @@
 
 void scheduler::cancelJob(const job_id &id, boot_time now)
 {
-    if (m_jobs.cancel(id, now))
-        stopRunsOf(id, now);
+    if (!m_jobs.cancel(id, now))
+        return;
+    noteJobEnd(id, now);
+    stopRunsOf(id, now);
+}
+
+void scheduler::noteJobEnd(const job_id &id, boot_time now)
+{
+    const job_entry &job = *m_jobs.find(id);
+    m_notices.emplace_back(
+        job_ended_notice{id, job.record.queue, job.state, now - job.acceptedAt, job.objective});
 }
 
 void scheduler::stopRunsOf(const job_id &id, boot_time now)
@@ -171,8 +180,12 @@
     }
     judge(executor, end, now);
     const end_effect effect = m_jobs.applyEnd(end, executor.info.id, now);
-    if (effect == end_effect::job_failed || effect == end_effect::job_completed)
+    if (end.end != run_end::done)
+        m_notices.emplace_back(run_ended_notice{end.task, end.run, end.end, executor.info.id});
+    if (effect == end_effect::job_failed || effect == end_effect::job_completed) {
+        noteJobEnd(end.task.job, now);
         stopRunsOf(end.task.job, now);
+    }
     // Another run of a task that is done, or of another member of its gang, is not wanted.
     const task_entry *const task = m_jobs.find(end.task);
     if (effect == end_effect::task_done && task && task->assigned) {
@@ -196,8 +209,10 @@
         || task->failures > 0)
         return;
     executor.lastFailedJob = end.task.job;
-    if (++executor.failuresInRow >= m_options.suspicionBound)
-        executor.suspendedUntil = now + m_options.suspensionTerm;
+    if (++executor.failuresInRow < m_options.suspicionBound)
+        return;
+    executor.suspendedUntil = now + m_options.suspensionTerm;
+    m_notices.emplace_back(executor_suspended_notice{executor.info.id, "failures"});
 }
 
 void scheduler::observeRunning(executor_entry &executor, const reported_run &run, boot_time now)
@@ -331,6 +346,7 @@
         stop(executor, task, held, stop_reason::stalled, now);
         executor.failuresInRow = m_options.suspicionBound;
         executor.suspendedUntil = now + m_options.suspensionTerm;
+        m_notices.emplace_back(executor_suspended_notice{executor.info.id, "stalled run"});
     }
 }
 
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -5,6 +5,7 @@
 #include <azurelb/scheduling/executor_life.hpp>
 #include <azurelb/scheduling/executor_table.hpp>
 #include <azurelb/scheduling/job_table.hpp>
+#include <azurelb/scheduling/notices.hpp>
 #include <azurelb/scheduling/orders.hpp>
 #include <azurelb/scheduling/pool_load.hpp>
 #include <azurelb/scheduling/start_outcome.hpp>
@@ -75,6 +76,9 @@
     /** Executors whose life has ended since the last call. */
     [[nodiscard]] std::vector<executor_life> takeEnded() { return std::exchange(m_ended, {}); }
 
+    /** What was found since the last call. */
+    [[nodiscard]] scheduling_notices takeNotices() { return std::exchange(m_notices, {}); }
+
     /** Demand and room of each pool. */
     [[nodiscard]] std::unordered_map<std::string, pool_load> loads(boot_time now) const;
 
@@ -110,6 +114,7 @@
     void judge(executor_entry &executor, const ended_run &end, boot_time now);
     /** Whether planned work may end the run now: not too many of its step are unavailable. */
     [[nodiscard]] bool mayInterrupt(const task_id &task, const assignment &held, boot_time now);
+    void noteJobEnd(const job_id &id, boot_time now);
     void stopRunsOf(const job_id &id, boot_time now);
     void stop(executor_entry &executor, const task_id &task, assignment &held, stop_reason reason,
               boot_time now);
@@ -139,6 +144,7 @@
     job_table m_jobs{};
     executor_table m_executors;
     executor_orders m_orders{};
+    scheduling_notices m_notices{};
     std::vector<executor_life> m_ended{};
 };
 
--- /dev/null
+++ b/test/azurelb/log/line_test.cpp
@@ -0,0 +1,56 @@
+#include <azurelb/log/event.hpp>
+#include <azurelb/log/line_budget.hpp>
+#include <azurelb/log/line_writer.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+
+#include <unistd.h>
+
+namespace {
+
+using namespace azurelb;
+
+class line_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(line_test);
+    CPPUNIT_TEST(boundsEachEventAndTellsWhatWasLeftOut);
+    CPPUNIT_TEST(aReaderThatStandsStillCostsLinesNotTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void boundsEachEventAndTellsWhatWasLeftOut()
+    {
+        line_budget budget{2};
+        const time_point now{std::chrono::seconds{100}};
+        CPPUNIT_ASSERT(budget.admit(event::job_accepted, now).write);
+        CPPUNIT_ASSERT(budget.admit(event::job_accepted, now).write);
+        CPPUNIT_ASSERT(!budget.admit(event::job_accepted, now).write);
+        CPPUNIT_ASSERT(budget.admit(event::job_refused, now).write);
+        const auto later = budget.admit(event::job_accepted, now + std::chrono::seconds{1});
+        CPPUNIT_ASSERT(later.write);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, later.leftOut);
+    }
+
+    void aReaderThatStandsStillCostsLinesNotTime()
+    {
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(ends.data()));
+        const std::string line(1000, 'x');
+        const auto begun = std::chrono::steady_clock::now();
+        int written = 0;
+        for (int index = 0; index < 1000; ++index)
+            written += writeLine(ends[1], line) ? 1 : 0;
+        CPPUNIT_ASSERT(written > 0 && written < 1000);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < std::chrono::seconds{1});
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(line_test);
+
+} // namespace
