--- a/src/azurelb/core/boot_clock.hpp
+++ b/src/azurelb/core/boot_clock.hpp
@@ -14,7 +14,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
 
     [[nodiscard]] static time_point now() noexcept;
 };
