--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -181,9 +181,7 @@
         return true;
     if (!executor || executor->info.born == 0)
         return false;
-    const auto unixNow = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    return unixNow - milliseconds{executor->info.born} >= m_options.vmLease + bornTolerance;
+    return unixNow() - milliseconds{executor->info.born} >= m_options.vmLease + bornTolerance;
 }
 
 bool vm_manager::isStandby(const std::string &pool) const
--- a/src/azurelb/core/boot_clock.cpp
+++ b/src/azurelb/core/boot_clock.cpp
@@ -13,4 +13,10 @@
     return time_point{std::chrono::floor<duration>(whole + part)};
 }
 
+std::chrono::milliseconds unixNow() noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace azurelb
--- a/src/azurelb/core/boot_clock.hpp
+++ b/src/azurelb/core/boot_clock.hpp
@@ -20,4 +20,7 @@
 
 using boot_time = boot_clock::time_point;
 
+/** Time of day in Unix time. It may jump and differs between VMs. */
+[[nodiscard]] std::chrono::milliseconds unixNow() noexcept;
+
 } // namespace azurelb
