--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -223,7 +223,9 @@
 void vm_manager::plan()
 {
     const boot_time now = boot_clock::now();
-    planWaves(view(), now);
+    // An earlier owner may have VMs in maintenance that this one does not know of.
+    if (now - m_begunAt >= m_options.vmLease)
+        planWaves(view(), now);
     planPools(view(), now);
 }
 
