Failures count by run, in whatever order executors report them

The executor of the later run answered the new owner first; its end set the highest ended run, and the failure of the earlier run was then passed over as known. The task was started a third time. Ruled out: a write that took effect late (it carries the owner's token), an executor moved away (its ends are never noted). Now the failed runs themselves are stored, and a gang's failures are counted over its members. Before: countsFailuresReportedInAnyOrder fails with 3 starts of 2. After: 2 starts, the job fails; test_scheduling 30 OK.

--- a/src/azurelb/jobs/job_progress.hpp
+++ b/src/azurelb/jobs/job_progress.hpp
@@ -16,9 +16,10 @@
     std::uint32_t step{0};
     std::uint32_t index{0};
     bool done{false};
-    /** Runs that ended by a failure. */
-    std::uint32_t failures{0};
-    /** Last run whose end is contained here; the end of an earlier run is not counted again. */
+    /** Runs that ended by a failure; empty for long-running tasks. Executors may report them in
+        any order and more than once, so a number would not do. */
+    std::vector<run_number> failedRuns{};
+    /** Highest run whose end is contained here. */
     run_number lastEndedRun{0};
     /** Last saved checkpoint; empty for none. */
     std::string checkpoint{};
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -17,7 +17,9 @@
     bool done{false};
     /** A run of it may exist; the executor's assignment tells more. */
     bool assigned{false};
-    std::uint32_t failures{0};
+    /** Runs that ended by a failure; empty for long-running tasks. */
+    std::vector<run_number> failedRuns{};
+    /** Highest run that has ended. */
     run_number lastEndedRun{0};
     /** Executor of the last run that failed; the next one goes elsewhere if it can. */
     executor_id lastFailedOn{};
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -2,6 +2,7 @@
 #include <azurelb/scheduling/job_table.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace azurelb {
@@ -82,7 +83,7 @@
             continue;
         step_entry &step = occurrence.steps[each.step];
         task_entry &task = step.tasks[each.index];
-        task.failures = each.failures;
+        task.failedRuns = each.failedRuns;
         task.lastEndedRun = each.lastEndedRun;
         task.checkpoint = each.checkpoint;
         task.done = each.done;
@@ -272,14 +273,17 @@
     const job_step &step = job->record.steps[end.task.step];
     if (end.end == run_end::done && !step.longRunning)
         return applyDone(*job, end.task, now);
-    if (end.run <= task->lastEndedRun)
-        return end_effect::none;
-    task->lastEndedRun = end.run;
-    noteCheckpoint(end.task, end.checkpoint);
-    markDirty(*job);
+    const bool isLatest = end.run > task->lastEndedRun;
+    if (isLatest) {
+        task->lastEndedRun = end.run;
+        noteCheckpoint(end.task, end.checkpoint);
+        markDirty(*job);
+    }
+    if (end.end == run_end::failed && !step.longRunning)
+        return applyFailure(*job, end, executor, now);
     if (end.end == run_end::failed)
-        return applyFailure(*job, *task, executor, step.longRunning, now);
-    return end_effect::task_waits_again;
+        task->lastFailedOn = executor;
+    return isLatest ? end_effect::task_waits_again : end_effect::none;
 }
 
 end_effect job_table::applyDone(job_entry &job, const task_id &task, boot_time now)
@@ -306,17 +310,33 @@
     return end_effect::job_completed;
 }
 
-end_effect job_table::applyFailure(job_entry &job, task_entry &task, const executor_id &executor,
-                                   bool longRunning, boot_time now)
+end_effect job_table::applyFailure(job_entry &job, const ended_run &end,
+                                   const executor_id &executor, boot_time now)
 {
-    ++task.failures;
+    task_entry &task = *find(end.task);
+    auto &failed = task.failedRuns;
+    if (std::find(failed.begin(), failed.end(), end.run) != failed.end())
+        return end_effect::none;
+    failed.push_back(end.run);
     task.lastFailedOn = executor;
-    if (longRunning || job.attempts == 0 || task.failures < job.attempts)
+    markDirty(job);
+    if (job.attempts == 0 || countFailedRuns(job, end.task) < job.attempts)
         return end_effect::task_waits_again;
     finish(job, job_state::failed, now);
     return end_effect::job_failed;
 }
 
+/** The members of a gang share a run, and one that fails ends it for all. */
+std::size_t job_table::countFailedRuns(const job_entry &job, const task_id &task)
+{
+    if (!job.record.steps[task.step].gang)
+        return find(task)->failedRuns.size();
+    std::set<run_number> runs;
+    for (const task_entry &member : findStep(task)->tasks)
+        runs.insert(member.failedRuns.begin(), member.failedRuns.end());
+    return runs.size();
+}
+
 void job_table::finish(job_entry &job, job_state state, boot_time now)
 {
     job.state = state;
@@ -356,7 +376,7 @@
                 const task_entry &task = tasks[index];
                 if (task.done || task.lastEndedRun != 0 || !task.checkpoint.empty())
                     progress.tasks.push_back({occurrence.number, step, index, task.done,
-                                              task.failures, task.lastEndedRun, task.checkpoint});
+                                              task.failedRuns, task.lastEndedRun, task.checkpoint});
             }
         }
     }
--- a/src/azurelb/scheduling/job_table.hpp
+++ b/src/azurelb/scheduling/job_table.hpp
@@ -99,8 +99,9 @@
     static void openSteps(const job_record &record, occurrence_entry &occurrence);
     static occurrence_entry *findOccurrence(job_entry &job, std::uint32_t number) noexcept;
     end_effect applyDone(job_entry &job, const task_id &task, boot_time now);
-    end_effect applyFailure(job_entry &job, task_entry &task, const executor_id &executor,
-                            bool longRunning, boot_time now);
+    end_effect applyFailure(job_entry &job, const ended_run &end, const executor_id &executor,
+                            boot_time now);
+    [[nodiscard]] std::size_t countFailedRuns(const job_entry &job, const task_id &task);
     void finish(job_entry &job, job_state state, boot_time now);
 
     std::unordered_map<job_id, job_entry> m_jobs{};
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -206,7 +206,7 @@
     // Several failures of one job, or one that failed elsewhere, are the job's own fault.
     const task_entry *const task = m_jobs.find(end.task);
     if (end.end != run_end::failed || executor.lastFailedJob == end.task.job || !task
-        || task->failures > 0)
+        || !task->lastFailedOn.empty())
         return;
     executor.lastFailedJob = end.task.job;
     if (++executor.failuresInRow < m_options.suspicionBound)
--- a/test/azurelb/jobs/codec_test.cpp
+++ b/test/azurelb/jobs/codec_test.cpp
@@ -66,13 +66,14 @@
 
     void progressSurvivesTheStore()
     {
-        const job_progress progress{job_state::running, {0, 2}, {{1, 0, 3, true, 1, 77, "0b"}}};
+        const job_progress progress{job_state::running, {0, 2}, {{1, 0, 3, true, {41, 77}, 77, "0b"}}};
         const auto read = decodeProgress(encode(progress));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT(read->state == job_state::running);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->completedOccurrences.size());
         const task_progress &task = read->tasks.at(0);
         CPPUNIT_ASSERT_EQUAL(run_number{77}, task.lastEndedRun);
+        CPPUNIT_ASSERT((task.failedRuns == std::vector<run_number>{41, 77}));
         CPPUNIT_ASSERT_EQUAL(3U, task.index);
         CPPUNIT_ASSERT(task.done);
         CPPUNIT_ASSERT_EQUAL(std::string{"0b"}, task.checkpoint);
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(unreachableExecutorHoldsBackItsPoolOnly);
     CPPUNIT_TEST(formerOwnerDoesNotRestartWhatItsSuccessorRenews);
     CPPUNIT_TEST(countsFailureOfEarlierOwnerOnce);
+    CPPUNIT_TEST(countsFailuresReportedInAnyOrder);
+    CPPUNIT_TEST(countsFailuresOfAllMembersOfAGang);
     CPPUNIT_TEST(spreadsLongRunningTasks);
     CPPUNIT_TEST(vacatesWithinWhatAStepMayMiss);
     CPPUNIT_TEST(runsOnSilentExecutorCountAsUnavailable);
@@ -320,6 +322,46 @@
         CPPUNIT_ASSERT(m_world.stateOf(jobA) == job_state::completed);
     }
 
+    /** BUDGET on trouble-2 of saptak-ho: power was lost while ends could not be stored, and the
+     * executor of the later run answered the new owner first. */
+    void countsFailuresReportedInAnyOrder()
+    {
+        m_world.setPlan([](const task_id &) {
+            return run_plan{milliseconds{300}, run_end::failed};
+        });
+        m_world.submit(makeJob(jobA, 1));
+        m_world.advance(milliseconds{100});
+        const std::string first = m_world.executor("e1").running().empty() ? "e2" : "e1";
+        m_world.setStoreDown(true);
+        m_world.advance(milliseconds{900});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_world.startsOf({jobA, 0, 0, 0}));
+        m_world.setStoreDown(false);
+        m_world.replaceOwner();
+        m_world.cut(first, true);
+        m_world.advance(milliseconds{300});
+        m_world.cut(first, false);
+        m_world.advance(milliseconds{3000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_world.startsOf({jobA, 0, 0, 0}));
+        CPPUNIT_ASSERT(m_world.stateOf(jobA) == job_state::failed);
+    }
+
+    /** A gang fails as a whole, whichever of its members ended so. */
+    void countsFailuresOfAllMembersOfAGang()
+    {
+        job_record gang = makeJob(jobA, 3);
+        gang.steps.front().gang = true;
+        job_table jobs;
+        jobs.add(gang, {}, 0, false, m_world.now());
+        job_entry &job = *jobs.find(jobA);
+        jobs.applyQueue(job, m_world.config.queues.front());
+        jobs.openDue(m_world.now(), milliseconds{0});
+        (void)jobs.applyEnd({1, {jobA, 0, 0, 0}, 7, run_end::failed, {}}, "e1", m_world.now());
+        (void)jobs.applyEnd({2, {jobA, 0, 0, 1}, 7, run_end::failed, {}}, "e1", m_world.now());
+        CPPUNIT_ASSERT(!isFinal(job.state));
+        (void)jobs.applyEnd({3, {jobA, 0, 0, 2}, 8, run_end::failed, {}}, "e1", m_world.now());
+        CPPUNIT_ASSERT(job.state == job_state::failed);
+    }
+
     void spreadsLongRunningTasks()
     {
         m_world.setPlan(lasting);
