Waves: the longest chains of interruptions begin first, also within a turn

Ruled out: lack of places in the wave (62 at once, 4 used at the end); VM orders refused (none). Now: placement avoids VMs that are due, a step gets no more reserved VMs than it can leave, chains longer than half of the time left begin at once, and executors report every 300 ms while a long-running task starts up.

--- a/src/azurelb/capacity/vm_view.hpp
+++ b/src/azurelb/capacity/vm_view.hpp
@@ -2,13 +2,25 @@
 
 #include <azurelb/core/boot_clock.hpp>
 #include <azurelb/jobs/resources.hpp>
+#include <azurelb/jobs/task_id.hpp>
 #include <azurelb/scheduling/fwd.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace azurelb {
 
+/** A step with long-running tasks on a VM. */
+struct held_step
+{
+    /** Index is 0. */
+    task_id step{};
+    /** Its tasks that may be unavailable at a time, at least 1. */
+    std::uint32_t mostUnavailable{1};
+};
+
 /** One VM as planned work sees it. */
 struct vm_view
 {
@@ -27,6 +39,8 @@
     bool reserved{false};
     std::size_t shortRuns{0};
     std::size_t longRuns{0};
+    /** Of the long runs, each step once. Filled while a wave is open. */
+    std::vector<held_step> steps{};
     /** Since when it has had no run. */
     boot_time idleSince{};
 
--- a/src/azurelb/capacity/wave_planner.cpp
+++ b/src/azurelb/capacity/wave_planner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <tuple>
+#include <unordered_map>
 
 namespace azurelb {
 
@@ -39,50 +41,134 @@
         / static_cast<std::size_t>(left.count());
 }
 
-} // namespace
+/** Interruptions of long-running tasks that a wave still has to make. */
+class interruption_plan
+{
+public:
+    explicit interruption_plan(const std::vector<const vm_view *> &due)
+    {
+        for (const vm_view *const vm : due) {
+            for (const held_step &each : vm->steps) {
+                step_load &load = m_steps[each.step];
+                load.mostUnavailable = std::max<std::size_t>(each.mostUnavailable, 1);
+                ++load.vms;
+                load.reserved += vm->reserved ? 1 : 0;
+            }
+        }
+    }
 
-wave_step planWave(const wave_entry &wave, const wave_progress &progress,
-                   const std::vector<vm_view> &vms, boot_time now, const wave_options &options)
+    /** Interruptions that follow one another in the step of the VM that has most of them. */
+    [[nodiscard]] std::size_t rounds(const vm_view &vm) const
+    {
+        std::size_t most = 0;
+        for (const held_step &each : vm.steps) {
+            const step_load &load = m_steps.at(each.step);
+            most = std::max(most, (load.vms + load.mostUnavailable - 1) / load.mostUnavailable);
+        }
+        return most;
+    }
+
+    /** Whether every step of the VM can leave it soon: one more VM waits its turn. */
+    [[nodiscard]] bool admits(const vm_view &vm) const
+    {
+        return std::all_of(vm.steps.begin(), vm.steps.end(), [this](const held_step &each) {
+            const step_load &load = m_steps.at(each.step);
+            return load.reserved <= load.mostUnavailable;
+        });
+    }
+
+    void reserve(const vm_view &vm)
+    {
+        for (const held_step &each : vm.steps)
+            ++m_steps.at(each.step).reserved;
+    }
+
+private:
+    struct step_load
+    {
+        std::size_t mostUnavailable{1};
+        std::size_t vms{0};
+        std::size_t reserved{0};
+    };
+
+    std::unordered_map<task_id, step_load> m_steps{};
+};
+
+/** VMs of a wave that still need their maintenance and could begin it. */
+struct due_vms
 {
-    wave_step step;
-    std::vector<const vm_view *> empty;
-    std::vector<const vm_view *> busy;
-    std::size_t left = 0;
-    std::size_t used = progress.inMaintenance.size();
-    std::size_t reserved = 0;
+    std::vector<const vm_view *> empty{};
+    /** With runs, those that are reserved included. */
+    std::vector<const vm_view *> busy{};
+    /** All that are not finished. */
+    std::size_t left{0};
+};
+
+due_vms findDue(const wave_entry &wave, const wave_progress &progress,
+                const std::vector<vm_view> &vms)
+{
+    due_vms due;
     for (const std::string &name : wave.vms) {
         const vm_view *const vm = findVm(vms, name);
         // A VM that has left the list needs no maintenance.
         if (!vm || progress.finished.contains(name))
             continue;
-        ++left;
+        ++due.left;
         if (progress.inMaintenance.contains(name) || !vm->up || vm->ordered)
             continue;
-        if (vm->isEmpty())
-            empty.push_back(vm);
-        else if (vm->reserved)
-            ++reserved;
-        else
-            busy.push_back(vm);
+        (vm->isEmpty() ? due.empty : due.busy).push_back(vm);
     }
-    step.completed = left == 0;
+    return due;
+}
+
+/** Order in which busy VMs are reserved. */
+void sortBusy(std::vector<const vm_view *> &busy, const interruption_plan &interruptions)
+{
+    const auto rank = [&interruptions](const vm_view &vm) {
+        return std::tuple{-static_cast<std::ptrdiff_t>(interruptions.rounds(vm)), vm.shortRuns,
+                          vm.longRuns};
+    };
+    std::sort(busy.begin(), busy.end(), [&rank](const vm_view *left, const vm_view *right) {
+        return rank(*left) < rank(*right);
+    });
+}
+
+} // namespace
+
+wave_step planWave(const wave_entry &wave, const wave_progress &progress,
+                   const std::vector<vm_view> &vms, boot_time now, const wave_options &options)
+{
+    due_vms due = findDue(wave, progress, vms);
+    wave_step step;
+    step.completed = due.left == 0;
     const std::size_t places = std::max<std::size_t>(wave.maxParallel, 1);
-    for (const vm_view *const each : empty) {
+    std::size_t used = progress.inMaintenance.size();
+    for (const vm_view *const each : due.empty) {
         if (used >= places)
             return step;
         step.begin.push_back(each->vm);
         ++used;
     }
-    std::sort(busy.begin(), busy.end(), [](const vm_view *a, const vm_view *b) {
-        return a->shortRuns != b->shortRuns ? a->shortRuns < b->shortRuns
-                                            : a->longRuns < b->longRuns;
-    });
-    const bool pressing = isPressing(wave, left, now, options);
-    const std::size_t atOnce = reservationsAtOnce(wave, busy.size() + reserved, now, options);
-    for (const vm_view *const each : busy) {
-        if (used + reserved >= places || (!pressing && (each->shortRuns > 0 || reserved >= atOnce)))
+    interruption_plan interruptions{due.busy};
+    sortBusy(due.busy, interruptions);
+    auto reserved = static_cast<std::size_t>(std::count_if(
+        due.busy.begin(), due.busy.end(), [](const vm_view *each) { return each->reserved; }));
+    const bool pressing = isPressing(wave, due.left, now, options);
+    const std::size_t atOnce = reservationsAtOnce(wave, due.busy.size(), now, options);
+    const milliseconds left = wave.deadline - options.reserve - now;
+    for (const vm_view *const each : due.busy) {
+        if (used + reserved >= places)
             break;
+        if (each->reserved || (!pressing && !interruptions.admits(*each)))
+            continue;
+        // A chain of interruptions that takes over half of the time left begins at once.
+        const milliseconds chain =
+            options.interruptionTime * static_cast<milliseconds::rep>(interruptions.rounds(*each));
+        const bool mayWait = each->shortRuns > 0 || reserved >= atOnce;
+        if (!pressing && mayWait && 2 * chain < left)
+            continue;
         step.reserve.push_back(each->vm);
+        interruptions.reserve(*each);
         ++reserved;
     }
     return step;
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -24,6 +24,9 @@
 /** Wait for an end in one report. With runs, the lease is renewed three times in its term. */
 constexpr milliseconds busyWait{900};
 constexpr milliseconds idleWait{2000};
+/** While a long-running task starts up, the next one of its step waits for it to be at work before
+    it may be interrupted for maintenance: a tenth of the usual interruption. */
+constexpr milliseconds startupWait{300};
 /** Backfill runs are paced by reports of the last half second. */
 constexpr milliseconds pacedWait{500};
 /** Pause before an executor that did not answer is asked again, times the failures in a row. */
@@ -40,6 +43,23 @@
 /** Run numbers of one owner; the token forms the upper part. */
 constexpr run_number runsPerOwner{run_number{1} << 24U};
 
+/** How long an executor may wait for an end before it reports. */
+milliseconds reportWait(const executor_entry &executor)
+{
+    const auto &runs = executor.assignments;
+    const auto startsUp = [](const auto &each) {
+        return each.second.longRunning && each.second.percent < 100;
+    };
+    const auto isPaced = [](const auto &each) {
+        return each.second.backfill;
+    };
+    if (runs.empty())
+        return idleWait;
+    if (std::any_of(runs.begin(), runs.end(), startsUp))
+        return startupWait;
+    return std::any_of(runs.begin(), runs.end(), isPaced) ? pacedWait : busyWait;
+}
+
 std::string lifeOf(const executor_id &id, std::int64_t born)
 {
     return id + '/' + std::to_string(born);
@@ -165,9 +185,7 @@
     if (executor->contacted && !to.restartNumbers) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
         m_scheduler.executors().noteLease(*executor, *request.leaseEnd);
-        const bool paced = std::any_of(executor->assignments.begin(), executor->assignments.end(),
-                                       [](const auto &each) { return each.second.backfill; });
-        request.wait = executor->assignments.empty() ? idleWait : paced ? pacedWait : busyWait;
+        request.wait = reportWait(*executor);
     }
     to.asking = true;
     m_with.executors.report(
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -28,6 +28,24 @@
 /** Difference between the clocks of an executor and of this VM. */
 constexpr milliseconds bornTolerance{1000};
 
+/** The steps whose long-running tasks the executor has. */
+std::vector<held_step> stepsOn(const executor_entry &executor, const job_table &jobs)
+{
+    std::vector<held_step> steps;
+    for (const auto &[task, held] : executor.assignments) {
+        const job_entry *const job = held.longRunning ? jobs.find(task.job) : nullptr;
+        if (!job || task.step >= job->record.steps.size())
+            continue;
+        const task_id step{task.job, task.occurrence, task.step, 0};
+        const bool known = std::any_of(steps.begin(), steps.end(), [&step](const held_step &each) {
+            return each.step == step;
+        });
+        if (!known)
+            steps.push_back({step, job->record.steps[task.step].maxUnavailable});
+    }
+    return steps;
+}
+
 std::string moveKey(const std::string &vm, const std::string &pool)
 {
     return vm + '>' + pool;
@@ -111,6 +129,8 @@
         return;
     }
     m_vms = std::move(listing.vms);
+    std::sort(m_vms.begin(), m_vms.end(),
+              [](const vm_entry &left, const vm_entry &right) { return left.vm < right.vm; });
     for (const vm_entry &each : m_vms)
         settle(each, now);
     endReplacedExecutors(now);
@@ -166,9 +186,10 @@
 
 const vm_entry *vm_manager::find(const std::string &vm) const
 {
-    const auto found = std::find_if(m_vms.begin(), m_vms.end(),
-                                    [&vm](const vm_entry &each) { return each.vm == vm; });
-    return found == m_vms.end() ? nullptr : &*found;
+    const auto found = std::lower_bound(
+        m_vms.begin(), m_vms.end(), vm,
+        [](const vm_entry &each, const std::string &name) { return each.vm < name; });
+    return found == m_vms.end() || found->vm != vm ? nullptr : &*found;
 }
 
 /**
@@ -214,6 +235,8 @@
             made.idleSince = executor->idleSince;
             for (const auto &[task, held] : executor->assignments)
                 ++(held.longRunning ? made.longRuns : made.shortRuns);
+            if (executor->maintenanceDue)
+                made.steps = stepsOn(*executor, m_scheduler.jobs());
         }
         views.push_back(std::move(made));
     }
@@ -234,25 +257,49 @@
     for (auto &[number, wave] : m_waves) {
         if (wave.completed)
             continue;
+        markDue(wave);
         const wave_step step = planWave(wave, m_progress[number], vms, now, m_options.waves);
         for (const std::string &each : step.reserve)
             reserve(each, true);
         for (const std::string &each : step.begin)
             maintain(each, number);
-        for (const vm_view &each : vms) {
-            if (each.reserved && each.longRuns > 0)
-                m_scheduler.vacate(each.executor, now);
-        }
         if (step.completed) {
             wave.completed = true;
             m_unreported.insert(number);
             logEvent(event::wave_completed, {{"wave", number}});
         }
     }
+    vacateReserved(vms, now);
     for (const std::int64_t number : std::exchange(m_unreported, {}))
         m_onWave(m_waves.at(number), m_progress[number]);
 }
 
+/** VMs with fewer runs first, so that one is left before the next is begun. */
+void vm_manager::vacateReserved(const std::vector<vm_view> &vms, boot_time now)
+{
+    std::vector<const vm_view *> reserved;
+    for (const vm_view &each : vms) {
+        if (each.reserved && each.longRuns > 0)
+            reserved.push_back(&each);
+    }
+    std::sort(reserved.begin(), reserved.end(), [](const vm_view *left, const vm_view *right) {
+        return left->longRuns < right->longRuns;
+    });
+    for (const vm_view *const each : reserved)
+        m_scheduler.vacate(each->executor, now);
+}
+
+void vm_manager::markDue(const wave_entry &wave)
+{
+    const std::set<std::string> &finished = m_progress[wave.number].finished;
+    for (const std::string &vm : wave.vms) {
+        const vm_entry *const entry = finished.contains(vm) ? nullptr : find(vm);
+        if (executor_entry *const executor =
+                entry ? m_scheduler.executors().find(entry->executor) : nullptr)
+            executor->maintenanceDue = true;
+    }
+}
+
 void vm_manager::planPools(const std::vector<vm_view> &vms, boot_time now)
 {
     if (!m_workSeen)
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -84,6 +84,9 @@
     void endReplacedExecutors(boot_time now);
     void plan();
     void planWaves(const std::vector<vm_view> &vms, boot_time now);
+    void vacateReserved(const std::vector<vm_view> &vms, boot_time now);
+    /** Marks the executors whose VM the wave has not maintained. */
+    void markDue(const wave_entry &wave);
     void planPools(const std::vector<vm_view> &vms, boot_time now);
     [[nodiscard]] std::vector<vm_view> view() const;
     void reserve(const std::string &vm, bool reserved);
@@ -104,6 +107,7 @@
     boot_time m_begunAt{};
     boot_time m_listedAt{};
     bool m_listing{false};
+    /** Sorted by name. */
     std::vector<vm_entry> m_vms{};
     std::unordered_map<std::string, pending_order> m_orders{};
     std::map<std::int64_t, wave_entry> m_waves{};
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -72,6 +72,8 @@
     bool silent{false};
     /** Planned work on its VM is near: it gets no new runs. */
     bool reserved{false};
+    /** Its VM is still to be maintained by an open wave: long-running tasks go elsewhere. */
+    bool maintenanceDue{false};
     /** The executor's clock at its last answer, and when that came. */
     std::chrono::milliseconds clock{0};
     boot_time clockAt{};
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** Lower is better; compared from the left. */
-using placement_cost = std::array<std::int64_t, 5>;
+using placement_cost = std::array<std::int64_t, 6>;
 
 std::size_t countOfStep(const executor_entry &executor, const task_id &like)
 {
@@ -202,10 +202,13 @@
         // The loss of one executor must not make more of a step unavailable than it may miss.
         const bool crowded = shape.longRunning
             && countOfStep(*each, like) >= std::max<std::size_t>(shape.maxUnavailable, 1);
+        // It would have to move again before the wave's deadline.
+        const bool movesAgain = shape.longRunning && each->maintenanceDue;
         const bool pinned = countShort(*each) < each->assignments.size();
-        const placement_cost cost{failed, crowded, far, !pinned,
-                                  shape.backfill ? static_cast<std::int64_t>(each->used.memory)
-                                                 : free.cpu};
+        const placement_cost cost{
+            failed,     crowded,
+            movesAgain, far,
+            !pinned,    shape.backfill ? static_cast<std::int64_t>(each->used.memory) : free.cpu};
         if (!best || cost < lowest) {
             best = each;
             lowest = cost;
--- a/test/azurelb/capacity/capacity_test.cpp
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -177,6 +177,8 @@
     CPPUNIT_TEST_SUITE(wave_planner_test);
     CPPUNIT_TEST(emptyVmsGoFirstUpToTheBound);
     CPPUNIT_TEST(busyVmsAreReservedInTime);
+    CPPUNIT_TEST(stepsLeaveTheirVmsSideBySide);
+    CPPUNIT_TEST(longChainsOfInterruptionsBeginAtOnce);
     CPPUNIT_TEST(vmsWithShortRunsAreLeftAloneUntilItPresses);
     CPPUNIT_TEST(isCompleteOnceAllAreFinishedOrGone);
     CPPUNIT_TEST(progressSurvivesTheStore);
@@ -212,6 +214,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().reserve.size());
     }
 
+    /** Duty missed on the grown days of cantoria: all reserved VMs had tasks of one step, of which
+     * one may be unavailable, while the other steps waited. */
+    void stepsLeaveTheirVmsSideBySide()
+    {
+        holdSteps({"job0", "job1"}, 26);
+        const auto reserved = plan().reserve;
+        const auto ofSecond = std::count_if(reserved.begin(), reserved.end(),
+                                            [](const std::string &each) { return each >= "m5"; });
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, ofSecond);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, reserved.size());
+    }
+
+    void longChainsOfInterruptionsBeginAtOnce()
+    {
+        // Two interruptions a step would do for 40 s, and five for 26 s would not.
+        holdSteps({"job0", "job1", "job2", "job3", "job4"}, 40);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plan().reserve.size());
+        holdSteps({"job0", "job1"}, 26);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan().reserve.size());
+        // Not even a turn of the pool lets them wait.
+        for (vm_view &each : m_vms)
+            each.shortRuns = 3;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan().reserve.size());
+    }
+
     void vmsWithShortRunsAreLeftAloneUntilItPresses()
     {
         for (vm_view &each : m_vms)
@@ -241,6 +268,18 @@
     }
 
 private:
+    /** The ten VMs have a task each, of the jobs by turns of equal length. */
+    void holdSteps(const std::vector<std::string> &jobs, int seconds)
+    {
+        const std::size_t share = m_vms.size() / jobs.size();
+        for (std::size_t index = 0; index < m_vms.size(); ++index) {
+            m_vms[index].longRuns = 1;
+            m_vms[index].steps = {{{jobs[index / share], 0, 0, 0}, 1}};
+        }
+        m_wave.maxParallel = 10;
+        m_wave.deadline = m_now + std::chrono::seconds{seconds};
+    }
+
     [[nodiscard]] wave_step plan() const { return planWave(m_wave, m_progress, m_vms, m_now, {}); }
 
     wave_entry m_wave{};
