Turns are told from single large jobs; their rate rises at once and falls over 2 s

The forecast then kept 140 VMs in a pool that had had its turn, for 12 s, while another had 13 VMs for 10,000 cores. And the rate over half a second swung between 542 and 29,000 cores, with moves back and forth. Ruled out: lack of VMs (56 to 150 were idle in the wrong pool). Now a turn needs two jobs and 0.3 of an equal share of all processors, and its rate is held for 2 s. Tests largeJobsBetweenTurnsAreNoTurn, rateOfATurnFollowsMoreThanItsLargestJobs.

--- a/src/azurelb/capacity/turn_predictor.hpp
+++ b/src/azurelb/capacity/turn_predictor.hpp
@@ -12,17 +12,23 @@
 
 /**
  * Forecasts the processors that each pool's arrivals ask for. Load pattern: queues that ask five
- * times their mean by turns, in the same order. Within a turn the rate of arrivals tells the need
- * before the backlog does; once every pool has had a turn, the next one is expected after the
- * usual gap for the pool whose last turn is longest ago.
+ * times their mean by turns, in the same order, with jobs whose sizes differ by a factor of ten.
+ * Within a turn the rate of arrivals tells the need before the backlog does; once every pool has
+ * had a turn, the next one is expected after the usual gap for the pool whose last turn is longest
+ * ago.
  */
 class turn_predictor
 {
 public:
     struct options
     {
-        /** Arrivals of this time make up the rate. */
-        std::chrono::milliseconds window{500};
+        /** Arrivals of this time show the beginning of a turn. */
+        std::chrono::milliseconds onsetWindow{500};
+        /** Within a turn the rate is at least that of this time, or of the turn so far: ten to
+            fifty jobs arrive in a second, so a shorter window measures the sizes of single jobs. */
+        std::chrono::milliseconds rateWindow{2000};
+        /** Arrivals of this time show its end. */
+        std::chrono::milliseconds endWindow{1000};
         /** A turn begins when the rate exceeds the mean this many times. Turns reach five. */
         double riseFactor{2.0};
         /** It ends when the rate falls below this part of the turn's mean. Between turns it is
@@ -30,8 +36,12 @@
         double fallFactor{0.3};
         /** The mean is taken over this time at least, so that a first turn is noticed. */
         std::chrono::milliseconds leastHistory{8000};
-        /** Rate, in cores, below which there is no turn: some VMs carry it in any case. */
-        double leastCores{200};
+        /** Jobs in the window that make a turn. One large job may ask for more than a turn does;
+            two within half a second are rare between turns. */
+        std::size_t leastJobs{2};
+        /** Part of a pool's equal share of all processors below which a rate is no turn: the ready
+            VMs carry it, and a few large jobs reach it between turns. */
+        double leastShare{0.3};
         /** A turn is prepared for this long before it is expected: the time of a move, 1.5 s, and
             that after which a turn is noticed. */
         std::chrono::milliseconds lead{1900};
@@ -41,6 +51,9 @@
 
     explicit turn_predictor(const options &with);
 
+    /** Processors of all VMs, in cores, divided by the number of pools. */
+    void setEqualShare(double cores) noexcept { m_equalShare = cores; }
+
     /** Work, in core-milliseconds, that has arrived for a pool. */
     void note(const std::string &pool, double work, boot_time now);
 
@@ -55,8 +68,8 @@
     };
     struct history
     {
+        /** Of the longest window. */
         std::deque<arrival> recent{};
-        double recentWork{0};
         double totalWork{0};
         bool inTurn{false};
         boot_time turnBegan{};
@@ -71,10 +84,12 @@
     };
 
     void update(const std::string &name, history &pool, boot_time now);
-    [[nodiscard]] double rateOf(const history &pool) const;
+    void beginTurn(const std::string &name, history &pool, boot_time now);
+    [[nodiscard]] double rateNow(const history &pool, boot_time now) const;
     [[nodiscard]] bool isExpected(const std::string &pool, boot_time now) const;
 
     options m_options;
+    double m_equalShare{0};
     std::unordered_map<std::string, history> m_pools{};
     std::vector<onset> m_onsets{};
     boot_time m_begun{};
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -46,6 +46,18 @@
     return steps;
 }
 
+/** Cores of all VMs, divided by the number of pools that can be asked for work. */
+double equalShare(const std::vector<vm_view> &vms, const std::vector<pool_entry> &pools)
+{
+    std::int64_t millis = 0;
+    for (const vm_view &each : vms)
+        millis += each.capacity.cpu;
+    const auto active = std::count_if(pools.begin(), pools.end(),
+                                      [](const pool_entry &each) { return !each.standby; });
+    return static_cast<double>(millis / millisPerCore)
+        / static_cast<double>(std::max<std::ptrdiff_t>(active, 1));
+}
+
 std::string moveKey(const std::string &vm, const std::string &pool)
 {
     return vm + '>' + pool;
@@ -305,6 +317,7 @@
     if (!m_workSeen)
         return;
     const auto loads = m_scheduler.loads(now);
+    m_predictor.setEqualShare(equalShare(vms, m_pools));
     std::vector<planned_pool> pools;
     for (const pool_entry &each : m_pools) {
         planned_pool pool{each.name, each.standby, {}, 0};
--- a/test/azurelb/capacity/capacity_test.cpp
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -159,9 +159,13 @@
     CPPUNIT_TEST(noticesAFirstTurnWithinHalfASecond);
     CPPUNIT_TEST(preparesForTheNextPoolOnceAllHaveHadATurn);
     CPPUNIT_TEST(expectsNothingBeforeAllHaveHadATurn);
+    CPPUNIT_TEST(largeJobsBetweenTurnsAreNoTurn);
+    CPPUNIT_TEST(rateOfATurnFollowsMoreThanItsLargestJobs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void setUp() override { m_predictor.setEqualShare(turnCores); }
+
     void noticesAFirstTurnWithinHalfASecond()
     {
         play(milliseconds{500});
@@ -185,7 +189,35 @@
         CPPUNIT_ASSERT(m_predictor.expectedCores("p0", m_now) < turnCores * 0.1);
     }
 
+    /** On scale-1 of cantoria-grown single jobs were taken for turns: a pool kept 140 VMs for a
+     * turn that it had already had, while another had 13 for 10,000 cores. */
+    void largeJobsBetweenTurnsAreNoTurn()
+    {
+        play(turnTime);
+        for (int pool = 1; pool < pools; ++pool) {
+            m_predictor.note("p" + std::to_string(pool), largeJob, m_now);
+            m_now += milliseconds{1500};
+            m_predictor.note("p" + std::to_string(pool), 1, m_now);
+        }
+        for (int wait = 0; wait < 40; ++wait, m_now += milliseconds{150})
+            CPPUNIT_ASSERT(m_predictor.expectedCores("p0", m_now) < turnCores * 0.3);
+    }
+
+    void rateOfATurnFollowsMoreThanItsLargestJobs()
+    {
+        // The same work in five jobs a second.
+        for (int job = 0; job < 20; ++job, m_now += milliseconds{200}) {
+            m_predictor.note("p0", turnCores * 200, m_now);
+            if (job < 5)
+                continue;
+            const double cores = m_predictor.expectedCores("p0", m_now + milliseconds{190});
+            CPPUNIT_ASSERT(cores > turnCores * 0.75 && cores < turnCores * 1.25);
+        }
+    }
+
 private:
+    /** 60 s on 10 cores. */
+    static constexpr double largeJob{300'000};
     static constexpr milliseconds turnTime{4500};
     static constexpr milliseconds tick{20};
     static constexpr double turnCores{1000};
