--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -102,7 +102,8 @@
 {
     if (work <= 0)
         return;
-    m_workSeen = true;
+    if (!m_workSeen)
+        m_workSeen = now;
     m_predictor.note(pool, work, now);
 }
 
@@ -244,7 +245,7 @@
         if (executor) {
             made.excluded = made.excluded || executor->info.draining;
             made.reserved = executor->reserved;
-            made.idleSince = executor->idleSince;
+            made.idleSince = std::max(executor->idleSince, m_workSeen.value_or(boot_time{}));
             for (const auto &[task, held] : executor->assignments)
                 ++(held.longRunning ? made.longRuns : made.shortRuns);
             if (executor->maintenanceDue)
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -116,8 +117,9 @@
     std::set<std::int64_t> m_unreported{};
     std::vector<pool_entry> m_pools{};
     turn_predictor m_predictor{{}};
-    /** No VM leaves its pool before short work has arrived: the first turn finds the pools full. */
-    bool m_workSeen{false};
+    /** When short work first arrived. No VM leaves its pool before, and idle times count from then:
+        the first turn finds the pools full. */
+    std::optional<boot_time> m_workSeen{};
     std::set<std::string> m_evacuated{};
     /** VMs that the platform does not allow in a pool. */
     std::set<std::string> m_refusedMoves{};
--- a/src/azurelb/jobs/job_codec.cpp
+++ b/src/azurelb/jobs/job_codec.cpp
@@ -98,9 +98,12 @@
 task_progress decodeTask(const json::value &value)
 {
     const json::array &in = value.as_array();
-    return {in.at(0).to_number<std::uint32_t>(), in.at(1).to_number<std::uint32_t>(),
-            in.at(2).to_number<std::uint32_t>(), in.at(3).as_bool(),
-            json::value_to<std::vector<run_number>>(in.at(4)), in.at(5).to_number<run_number>(),
+    return {in.at(0).to_number<std::uint32_t>(),
+            in.at(1).to_number<std::uint32_t>(),
+            in.at(2).to_number<std::uint32_t>(),
+            in.at(3).as_bool(),
+            json::value_to<std::vector<run_number>>(in.at(4)),
+            in.at(5).to_number<run_number>(),
             std::string{in.at(6).as_string()}};
 }
 
@@ -186,7 +189,8 @@
     json::array tasks;
     for (const task_progress &each : progress.tasks)
         tasks.push_back(json::array{each.occurrence, each.step, each.index, each.done,
-                                    json::value_from(each.failedRuns), each.lastEndedRun, each.checkpoint});
+                                    json::value_from(each.failedRuns), each.lastEndedRun,
+                                    each.checkpoint});
     if (!tasks.empty())
         out["tasks"] = std::move(tasks);
     return json::serialize(out);
--- a/test/azurelb/jobs/codec_test.cpp
+++ b/test/azurelb/jobs/codec_test.cpp
@@ -66,7 +66,8 @@
 
     void progressSurvivesTheStore()
     {
-        const job_progress progress{job_state::running, {0, 2}, {{1, 0, 3, true, {41, 77}, 77, "0b"}}};
+        const job_progress progress{
+            job_state::running, {0, 2}, {{1, 0, 3, true, {41, 77}, 77, "0b"}}};
         const auto read = decodeProgress(encode(progress));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT(read->state == job_state::running);
