--- a/src/azurelb/capacity/pool_planner.cpp
+++ b/src/azurelb/capacity/pool_planner.cpp
@@ -103,6 +103,7 @@
         const std::size_t needed = vmsNeeded(each.load, capacity, options);
         pool_load arrivals = each.load;
         arrivals.demand = {};
+        arrivals.lateDemand = {};
         m_balances[each.name] = {&each, vmsNeeded(arrivals, capacity, options), needed,
                                  std::max(needed, ready), each.arriving};
     }
@@ -181,20 +182,19 @@
 std::size_t vmsNeeded(const pool_load &load, const resources &vmCapacity,
                       const pool_planner_options &options)
 {
-    const auto need = [&](std::int64_t shortRuns, std::int64_t longRuns, std::int64_t capacity) {
-        return ratioUp(static_cast<double>(shortRuns) * options.demandFactor
-                           + static_cast<double>(longRuns),
-                       capacity);
+    const auto need = [&](std::int64_t resources::*kind) {
+        const auto late = static_cast<double>(load.lateDemand.*kind);
+        const auto timely = static_cast<double>(load.demand.*kind) - late;
+        return ratioUp(timely * options.demandFactor + late * options.lateFactor
+                           + static_cast<double>(load.lasting.*kind),
+                       vmCapacity.*kind);
     };
     constexpr double millisPerCore{1000};
     const std::size_t expected = ratioUp(load.expectedCores * millisPerCore * options.expectedFactor
                                              + static_cast<double>(load.lasting.cpu),
                                          vmCapacity.cpu);
-    return std::max(
-        {options.leastVms, load.spread, expected,
-         need(load.demand.cpu, load.lasting.cpu, vmCapacity.cpu),
-         need(load.demand.memory, load.lasting.memory, vmCapacity.memory),
-         need(load.demand.accelerators, load.lasting.accelerators, vmCapacity.accelerators)});
+    return std::max({options.leastVms, load.spread, expected, need(&resources::cpu),
+                     need(&resources::memory), need(&resources::accelerators)});
 }
 
 std::vector<vm_move> planMoves(const std::vector<planned_pool> &pools,
--- a/src/azurelb/capacity/pool_planner.hpp
+++ b/src/azurelb/capacity/pool_planner.hpp
@@ -18,6 +18,9 @@
     /** Part of the demand of open tasks that a pool is sized for. Runs of a turn end and make
         room before the last of its tasks could start on a VM that arrives later. */
     double demandFactor{0.8};
+    /** The same for jobs that are late: their callers gain little, so they take what room is left
+        over rather than keep VMs from the next turn. */
+    double lateFactor{0.4};
     /** Part of the expected cores that a pool is sized for. */
     double expectedFactor{1.0};
     /** VMs that a pool keeps in any case. */
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -249,6 +249,8 @@
         const job_entry &job = *m_jobs.find(id);
         pool_load &load = loads[job.record.pool];
         for (const occurrence_entry &occurrence : job.occurrences) {
+            const bool late =
+                now + remainingChain(job, occurrence) > occurrence.due + job.objective;
             for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
                 const step_entry &step = occurrence.steps[index];
                 const job_step &shape = job.record.steps[index];
@@ -258,6 +260,8 @@
                 const resources each = reservation(shape);
                 const resources all{each.cpu * open, each.memory * open, each.accelerators * open};
                 (shape.longRunning ? load.lasting : load.demand) += all;
+                if (late && !shape.longRunning)
+                    load.lateDemand += all;
                 if (shape.longRunning && shape.mostPerExecutor != 0)
                     load.spread = std::max(load.spread,
                                            (step.tasks.size() + shape.mostPerExecutor - 1)
--- a/src/azurelb/scheduling/pool_load.hpp
+++ b/src/azurelb/scheduling/pool_load.hpp
@@ -11,6 +11,8 @@
 {
     /** Requests of all tasks that run or could run now, but for long-running ones. */
     resources demand{};
+    /** Part of the demand whose jobs can no longer meet their objective. */
+    resources lateDemand{};
     /** Cores that arrivals ask for, by their rate or by forecast. */
     double expectedCores{0};
     /** Requests of long-running tasks. */
--- a/test/azurelb/capacity/capacity_test.cpp
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(unusedVmsAreParked);
     CPPUNIT_TEST(busyAndReservedVmsStay);
     CPPUNIT_TEST(keepsLeastVmsAndSpread);
+    CPPUNIT_TEST(lateJobsNeedFewerVms);
     CPPUNIT_TEST(keepsVmsReadyForTheNextTurn);
     CPPUNIT_TEST(readyVmsHelpThePoolThatLacksRoom);
     CPPUNIT_TEST_SUITE_END();
@@ -101,6 +102,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{9}, vmsNeeded(load, vmRoom, m_options));
     }
 
+    /** On trouble-3 of cantoria the backlog of one turn kept 24 VMs while the next turn had ten. */
+    void lateJobsNeedFewerVms()
+    {
+        pool_load load;
+        load.demand.cpu = 20 * vmRoom.cpu;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, vmsNeeded(load, vmRoom, m_options));
+        load.lateDemand.cpu = 10 * vmRoom.cpu;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, vmsNeeded(load, vmRoom, m_options));
+    }
+
     /** The first seconds of each turn of the grown days: nine of ten jobs waited for VMs. */
     void keepsVmsReadyForTheNextTurn()
     {
