Fault soak: daemons as processes, stand-ins by the platform's protocol, faults from outside

azurelb_soak starts azurelb_platformd several times, each behind a proxy of its own towards the store, and plays 13 faults in series that overlap: kills, stops, pauses, cuts, silent and reset connections, crashed, cut and silent executors, a store that is down, slow, loses answers or drops history. It checks what callers and executors see: no second run, none after an acknowledged end, nothing started that was refused or never asked for, completed only if all tasks are, every accepted job ends. The executor model of the scheduler's tests moved to test/support and is the same code. child_process closes inherited descriptors: a daemon kept the test's listening sockets open (found as 'address already in use').

--- a/test/azurelb/scheduling/virtual_world.hpp
+++ b/test/azurelb/scheduling/virtual_world.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "fake_executor.hpp"
-
 #include <azurelb/catalogue/catalogue.hpp>
 #include <azurelb/jobs/job_progress.hpp>
 #include <azurelb/jobs/job_record.hpp>
 #include <azurelb/scheduling/scheduler.hpp>
+#include <support/fake_executor.hpp>
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/test/soak/executor_endpoint.cpp
@@ -0,0 +1,242 @@
+#include "executor_endpoint.hpp"
+
+#include <azurelb/http/http_limits.hpp>
+#include <azurelb/http/problem_response.hpp>
+#include <azurelb/scheduling/executor_report.hpp>
+#include <azurelb/scheduling/orders.hpp>
+#include <azurelb/scheduling/start_outcome.hpp>
+#include <platform/json_fields.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <utility>
+
+namespace azurelb::soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr resources room{16'000, 65'536, 0};
+constexpr milliseconds holdPoll{20};
+/** One run in so many fails, whatever it runs. */
+constexpr std::size_t failingShare{40};
+
+const char *wordOf(run_end end)
+{
+    constexpr std::array words{"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return words.at(static_cast<std::size_t>(end));
+}
+
+const char *reasonOf(start_outcome outcome)
+{
+    switch (outcome) {
+    case start_outcome::fenced:
+        return "fence";
+    case start_outcome::outdated:
+        return "old";
+    case start_outcome::expired:
+        return "late";
+    default:
+        return "room";
+    }
+}
+
+executor_registration describe(const std::string &id)
+{
+    executor_registration info;
+    info.id = id;
+    info.pool = "pool";
+    info.zone = "zone-a";
+    info.vm = "m-" + id;
+    info.capacity = room;
+    info.born = unixNow().count();
+    return info;
+}
+
+/** The specification is the duration in milliseconds; failures follow from task and run. */
+test::run_plan planOf(const std::string &spec, const task_id &task, run_number run)
+{
+    int duration = 0;
+    std::from_chars(spec.data(), spec.data() + spec.size(), duration);
+    const std::size_t draw = std::hash<std::string>{}(toString(task) + std::to_string(run));
+    return {milliseconds{duration}, draw % failingShare == 0 ? run_end::failed : run_end::done};
+}
+
+std::optional<task_id> taskOf(const json::object &in)
+{
+    return parseTaskId(platform::textOf(in, "Task").value_or(""));
+}
+
+http_response reply(http::status status, json::object body, milliseconds clock)
+{
+    body["ClockMs"] = clock.count();
+    return jsonResponse(status, json::serialize(body));
+}
+
+} // namespace
+
+executor_endpoint::executor_endpoint(asio::io_context &loop, std::string id, run_audit &audit,
+                                     run_counter countRuns, double clockRate)
+    : m_loop{loop}
+    , m_id{std::move(id)}
+    , m_audit{audit}
+    , m_countRuns{std::move(countRuns)}
+    , m_model{describe(m_id), clockRate, boot_clock::now()}
+    , m_begun{boot_clock::now()}
+    , m_server{loop, "127.0.0.1:0", {}, [this](const http_request &request) {
+                   return serve(request);
+               }}
+{
+    m_server.start();
+}
+
+std::string executor_endpoint::registration(const std::string &address) const
+{
+    const executor_registration &info = m_model.info();
+    return json::serialize(
+        json::object{{"Service", info.pool},
+                     {"Address", address},
+                     {"Zone", info.zone},
+                     {"State", "ready"},
+                     {"Machine", info.vm},
+                     {"FreeCapacity", json::object{{"Cpu", room.cpu}, {"MemMb", room.memory}}},
+                     {"Labels", json::array{"std", "r1-1"}},
+                     {"born", info.born}});
+}
+
+std::string executor_endpoint::vmEntry() const
+{
+    const executor_registration &info = m_model.info();
+    return json::serialize(
+        json::object{{"Machine", info.vm},
+                     {"Pool", info.pool},
+                     {"State", "up"},
+                     {"Zone", info.zone},
+                     {"FreeCapacity", json::object{{"Cpu", room.cpu}, {"MemMb", room.memory}}},
+                     {"Labels", json::array{"std", "r1-1"}},
+                     {"Id", info.id}});
+}
+
+void executor_endpoint::advance(boot_time now)
+{
+    m_model.advance(now);
+    for (const ended_run &each : m_model.ended())
+        m_endedAt.try_emplace(each.sequence, now);
+}
+
+void executor_endpoint::crash(boot_time now)
+{
+    advance(now);
+    m_model.crash(now);
+    m_endedAt.clear();
+}
+
+executor_endpoint::answer executor_endpoint::serve(const http_request &request)
+{
+    const std::string target{request.target().data(), request.target().size()};
+    if (request["X-Target-Instance"] != m_id)
+        co_return reply(http::status::misdirected_request, {}, milliseconds{0});
+    advance(boot_clock::now());
+    if (target == "/azurelb/run-start")
+        co_return start(request.body());
+    if (target == "/azurelb/run-stop")
+        co_return stop(request.body());
+    if (target == "/azurelb/hold")
+        co_return co_await report(request.body());
+    co_return reply(http::status::bad_request, {}, m_model.clock(boot_clock::now()));
+}
+
+http_response executor_endpoint::start(const std::string &body)
+{
+    const boot_time now = boot_clock::now();
+    const auto in = platform::parseObject(body);
+    const auto task = in ? taskOf(*in) : std::nullopt;
+    if (!task)
+        return reply(http::status::bad_request, {}, m_model.clock(now));
+    start_order order;
+    order.task = *task;
+    order.run = platform::integerOf(*in, "RunId").value_or(0);
+    order.spec = platform::textOf(*in, "Spec").value_or("");
+    order.leaseEnd = milliseconds{platform::integerOf(*in, "ExpiresMs").value_or(0)};
+    const std::size_t before = m_model.running().size();
+    const std::size_t others = m_countRuns(*task);
+    const start_outcome outcome =
+        m_model.start(order, platform::integerOf(*in, "FencingToken").value_or(0),
+                      planOf(order.spec, *task, order.run), now);
+    if (m_model.running().size() > before)
+        m_audit.started(*task, order.spec, others, now);
+    if (outcome == start_outcome::started)
+        return reply(http::status::ok, {}, m_model.clock(now));
+    return reply(http::status::conflict, {{"Reason", reasonOf(outcome)}}, m_model.clock(now));
+}
+
+http_response executor_endpoint::stop(const std::string &body)
+{
+    const boot_time now = boot_clock::now();
+    const auto in = platform::parseObject(body);
+    const auto task = in ? taskOf(*in) : std::nullopt;
+    if (!task)
+        return reply(http::status::bad_request, {}, m_model.clock(now));
+    const stop_order order{m_id, *task, platform::integerOf(*in, "RunId").value_or(0)};
+    const start_outcome outcome =
+        m_model.stop(order, platform::integerOf(*in, "FencingToken").value_or(0), now);
+    if (outcome == start_outcome::started)
+        return reply(http::status::ok, {}, m_model.clock(now));
+    return reply(http::status::conflict, {{"Reason", "fence"}}, m_model.clock(now));
+}
+
+executor_endpoint::answer executor_endpoint::report(const std::string &body)
+{
+    const auto in = platform::parseObject(body);
+    if (!in)
+        co_return reply(http::status::bad_request, {}, m_model.clock(boot_clock::now()));
+    const std::int64_t token = platform::integerOf(*in, "FencingToken").value_or(0);
+    const std::int64_t seen = platform::integerOf(*in, "LastSeen").value_or(0);
+    const auto lease = platform::integerOf(*in, "ExpiresMs");
+    const auto leaseEnd =
+        lease ? std::optional{milliseconds{*lease}} : std::optional<milliseconds>{};
+    const boot_time latest =
+        boot_clock::now() + milliseconds{platform::integerOf(*in, "WaitMs").value_or(0)};
+    while (true) {
+        const boot_time now = boot_clock::now();
+        advance(now);
+        const auto found = m_model.hold(token, seen, leaseEnd, now);
+        noteAcknowledged();
+        if (!found)
+            co_return reply(http::status::conflict, {{"Reason", "fence"}}, m_model.clock(now));
+        if (found->ended.empty() && now < latest) {
+            asio::steady_timer timer{m_loop, holdPoll};
+            co_await timer.async_wait(asio::use_awaitable);
+            continue;
+        }
+        json::array running;
+        for (const reported_run &each : found->running)
+            running.push_back(json::array{toString(each.task), each.run, "", each.percent, 0});
+        json::array ended;
+        for (const ended_run &each : found->ended)
+            ended.push_back(
+                json::array{each.sequence, toString(each.task), each.run, wordOf(each.end), ""});
+        co_return reply(http::status::ok,
+                        {{"Running", std::move(running)},
+                         {"EndedRuns", std::move(ended)},
+                         {"born", m_model.info().born}},
+                        found->clock);
+    }
+}
+
+void executor_endpoint::noteAcknowledged()
+{
+    for (const ended_run &each : m_model.takeAcknowledged())
+        m_audit.acknowledged(each.task, each.end == run_end::done, m_endedAt[each.sequence]);
+}
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,48 @@
+#include "soak_world.hpp"
+
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <fstream>
+
+DEFINE_uint64(seed, 1, "first seed");
+DEFINE_uint32(seeds, 1, "seeds to play, one after the other");
+DEFINE_double(fault_s, 10, "seconds with faults; time for recovery follows");
+DEFINE_uint32(daemons, 4, "processes of azurelb_platformd");
+DEFINE_uint32(executors, 8, "stand-ins of executors");
+DEFINE_string(log, "", "file for the daemons' output of a seed that fails");
+
+/** Plays seeds of the fault soak; exit code 1 if a promise was broken. */
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(
+        "fault soak of azurelb_platformd; AZURELB_BUILD names the build folder");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    (void)std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    unsigned failed = 0;
+    for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed) {
+        azurelb::soak::soak_options options;
+        options.seed = static_cast<unsigned>(seed);
+        options.daemons = FLAGS_daemons;
+        options.executors = FLAGS_executors;
+        options.faultTime =
+            std::chrono::milliseconds{static_cast<std::int64_t>(FLAGS_fault_s * 1000)};
+        azurelb::soak::soak_world world{options};
+        world.play();
+        const auto &audit = world.audit();
+        std::printf("seed %llu: %zu jobs, %zu starts, faults:%s: %s\n",
+                    static_cast<unsigned long long>(seed), audit.jobs(), audit.starts(),
+                    world.faults().c_str(), audit.violations().empty() ? "ok" : "FAILED");
+        for (const std::string &each : audit.violations())
+            std::printf("  %s\n", each.c_str());
+        if (audit.violations().empty())
+            continue;
+        ++failed;
+        if (!FLAGS_log.empty())
+            std::ofstream{FLAGS_log} << world.logs();
+    }
+    std::printf("%u passed, %u failed\n", FLAGS_seeds - failed, failed);
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/soak/run_audit.cpp
@@ -0,0 +1,59 @@
+#include "run_audit.hpp"
+
+#include <algorithm>
+
+namespace azurelb::soak {
+
+void run_audit::submitted(const job_id &job, const std::string &spec)
+{
+    m_specs[job] = spec;
+}
+
+void run_audit::started(const task_id &task, const std::string &spec, std::size_t others,
+                        boot_time now)
+{
+    const std::string name = toString(task);
+    const auto known = m_specs.find(task.job);
+    if (known == m_specs.end() || known->second != spec)
+        report("started what no caller asked for: " + name);
+    if (others > 0)
+        report("two runs at a time: " + name);
+    if (m_refused.contains(task.job))
+        report("started though all attempts were refused: " + name);
+    if (m_done.contains(task))
+        report("started after it was done: " + name);
+    m_starts.push_back({task, now});
+}
+
+void run_audit::acknowledged(const task_id &task, bool done, boot_time endedAt)
+{
+    if (!done)
+        return;
+    m_done.try_emplace(task, endedAt);
+    const bool again = std::any_of(m_starts.begin(), m_starts.end(), [&](const start_record &each) {
+        return each.task == task && each.at > endedAt;
+    });
+    if (again)
+        report("an end was acknowledged after another start: " + toString(task));
+}
+
+void run_audit::completed(const job_id &job, std::uint32_t tasks)
+{
+    ended(job);
+    for (std::uint32_t index = 0; index < tasks; ++index) {
+        if (!m_done.contains({job, 0, 0, index}))
+            report("shown as completed, but not done: " + toString({job, 0, 0, index}));
+    }
+}
+
+std::set<job_id> run_audit::open() const
+{
+    std::set<job_id> open;
+    for (const job_id &job : m_accepted) {
+        if (!m_ended.contains(job) && !m_cancelled.contains(job))
+            open.insert(job);
+    }
+    return open;
+}
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/run_audit.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <azurelb/core/boot_clock.hpp>
+#include <azurelb/jobs/task_id.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurelb::soak {
+
+/** What callers and executors see, checked against what azurelb promises. */
+class run_audit
+{
+public:
+    /** A caller hands the job in; its tasks run with the specification. */
+    void submitted(const job_id &job, const std::string &spec);
+    /** The job was accepted: it must come to an end. */
+    void accepted(const job_id &job) { m_accepted.insert(job); }
+    /** Every attempt to hand the job in was refused as not run. */
+    void refused(const job_id &job) { m_refused.insert(job); }
+    void cancelled(const job_id &job) { m_cancelled.insert(job); }
+
+    /** An executor begins a run; others says how many runs of the task are under way. */
+    void started(const task_id &task, const std::string &spec, std::size_t others, boot_time now);
+    /** An end was acknowledged that came at the time given. */
+    void acknowledged(const task_id &task, bool done, boot_time endedAt);
+
+    /** A caller was told that the job is completed. */
+    void completed(const job_id &job, std::uint32_t tasks);
+
+    /** Jobs that were accepted, are not cancelled and have not been seen to end. */
+    [[nodiscard]] std::set<job_id> open() const;
+    void ended(const job_id &job) { m_ended.insert(job); }
+
+    void report(const std::string &violation) { m_violations.push_back(violation); }
+    [[nodiscard]] const std::vector<std::string> &violations() const noexcept
+    {
+        return m_violations;
+    }
+    [[nodiscard]] std::size_t starts() const noexcept { return m_starts.size(); }
+    [[nodiscard]] std::size_t jobs() const noexcept { return m_accepted.size(); }
+
+private:
+    struct start_record
+    {
+        task_id task{};
+        boot_time at{};
+    };
+
+    std::map<job_id, std::string> m_specs{};
+    std::set<job_id> m_accepted{};
+    std::set<job_id> m_refused{};
+    std::set<job_id> m_cancelled{};
+    std::set<job_id> m_ended{};
+    /** First end of each task that was done and acknowledged. */
+    std::map<task_id, boot_time> m_done{};
+    std::vector<start_record> m_starts{};
+    std::vector<std::string> m_violations{};
+};
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/soak_caller.cpp
@@ -0,0 +1,153 @@
+#include "soak_caller.hpp"
+
+#include <azurelb/core/await_callback.hpp>
+#include <azurelb/http/http_client.hpp>
+#include <azurelb/http/http_progress.hpp>
+#include <platform/client_pool.hpp>
+#include <platform/json_fields.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+namespace azurelb::soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr http_timeouts callLimits{milliseconds{500}, milliseconds{3000}};
+constexpr milliseconds retryPause{250};
+constexpr milliseconds pollPause{300};
+constexpr unsigned mostAttempts{8};
+constexpr unsigned okay{200};
+constexpr unsigned tooMany{429};
+constexpr unsigned unavailable{503};
+constexpr unsigned gone{410};
+
+std::string bodyOf(const std::string &spec, std::uint32_t tasks)
+{
+    const json::object step{{"Count", tasks}, {"Cpu", 1000}, {"MemMb", 512}, {"EstimateMs", 500}};
+    return json::serialize(json::object{{"Spec", spec}, {"Phases", json::array{step}}});
+}
+
+} // namespace
+
+soak_caller::soak_caller(asio::io_context &loop, std::vector<endpoint> fronts, run_audit &audit,
+                         unsigned seed)
+    : m_loop{loop}
+    , m_fronts{std::move(fronts)}
+    , m_audit{audit}
+    , m_random{seed}
+{ }
+
+std::size_t soak_caller::draw(std::size_t below)
+{
+    return std::uniform_int_distribution<std::size_t>{0, below - 1}(m_random);
+}
+
+void soak_caller::begin()
+{
+    job_plan plan;
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%08zx%08zx", draw(1U << 31U), draw(1U << 31U));
+    plan.id = id.data();
+    plan.spec = std::to_string(100 + draw(1500));
+    plan.tasks = static_cast<std::uint32_t>(1 + draw(6));
+    plan.cancels = draw(10) == 0;
+    m_audit.submitted(plan.id, plan.spec);
+    ++m_active;
+    asio::co_spawn(m_loop, follow(std::move(plan)), asio::detached);
+}
+
+asio::awaitable<void> soak_caller::pause(milliseconds time)
+{
+    asio::steady_timer timer{m_loop, time};
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<soak_caller::call_answer> soak_caller::call(http::verb method, const job_id &job,
+                                                            std::string body)
+{
+    auto client = std::make_shared<http_client>(m_loop, m_fronts.at(draw(m_fronts.size())));
+    http_request request =
+        platform::makeRequest(method, "/plans/" + job, "soak.example", std::move(body));
+    request.set(http::field::authorization, "Token key-1");
+    request.set("X-Deadline-Ms", std::to_string(callLimits.total.count()));
+    const auto outcome = co_await awaitCallback<http_outcome>(m_loop, [&](auto done) {
+        client->call(std::move(request), callLimits,
+                     [done, client](http_outcome &&each) { done(each); });
+    });
+    if (!outcome || outcome->progress != http_progress::answered)
+        co_return call_answer{};
+    co_return call_answer{outcome->response.result_int(), outcome->response.body()};
+}
+
+/** Whether the job was accepted; the audit learns if it was refused for certain. */
+asio::awaitable<bool> soak_caller::submit(const job_plan &plan)
+{
+    bool uncertain = false;
+    for (unsigned attempt = 0; attempt < mostAttempts; ++attempt) {
+        const call_answer answer =
+            co_await call(http::verb::post, plan.id, bodyOf(plan.spec, plan.tasks));
+        if (answer.status == okay)
+            co_return true;
+        uncertain = uncertain || (answer.status != tooMany && answer.status != unavailable);
+        co_await pause(retryPause);
+    }
+    if (!uncertain)
+        m_audit.refused(plan.id);
+    co_return false;
+}
+
+asio::awaitable<bool> soak_caller::cancel(const job_plan &plan)
+{
+    // Counted from the first attempt: its answer may be lost.
+    m_audit.cancelled(plan.id);
+    const call_answer answer = co_await call(http::verb::delete_, plan.id, {});
+    co_return answer.status == okay || answer.status == gone;
+}
+
+asio::awaitable<void> soak_caller::follow(job_plan plan)
+{
+    const bool accepted = co_await submit(plan);
+    if (accepted) {
+        m_audit.accepted(plan.id);
+        co_await pause(pollPause);
+    }
+    bool over = !accepted;
+    while (!over) {
+        if (plan.cancels) {
+            over = co_await cancel(plan);
+            co_await pause(pollPause);
+            continue;
+        }
+        const call_answer answer = co_await call(http::verb::get, plan.id, {});
+        if (answer.status == gone)
+            m_audit.report("an accepted job is not known: " + plan.id);
+        const auto body = platform::parseObject(answer.body);
+        const std::string state =
+            body ? platform::textOf(*body, "State").value_or("") : std::string{};
+        if (state == "completed")
+            m_audit.completed(plan.id, plan.tasks);
+        if (state == "failed")
+            m_audit.ended(plan.id);
+        if (state == "cancelled")
+            m_audit.report("cancelled without a call: " + plan.id);
+        over = answer.status == gone || state == "completed" || state == "failed"
+            || state == "cancelled";
+        co_await pause(pollPause);
+    }
+    --m_active;
+}
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/soak_caller.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "run_audit.hpp"
+
+#include <azurelb/http/message.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace azurelb::soak {
+
+/** Callers that hand jobs in, ask for their state, and cancel some. */
+class soak_caller
+{
+public:
+    using endpoint = boost::asio::ip::tcp::endpoint;
+
+    soak_caller(boost::asio::io_context &loop, std::vector<endpoint> fronts, run_audit &audit,
+                unsigned seed);
+
+    /** Hands one job in and follows it to its end. */
+    void begin();
+
+    /** Callers that still follow their job. */
+    [[nodiscard]] std::size_t active() const noexcept { return m_active; }
+
+private:
+    /** Status 0 without an answer. */
+    struct call_answer
+    {
+        unsigned status{0};
+        std::string body{};
+    };
+    struct job_plan
+    {
+        job_id id{};
+        std::string spec{};
+        std::uint32_t tasks{1};
+        bool cancels{false};
+    };
+
+    boost::asio::awaitable<void> follow(job_plan plan);
+    boost::asio::awaitable<bool> submit(const job_plan &plan);
+    boost::asio::awaitable<bool> cancel(const job_plan &plan);
+    boost::asio::awaitable<call_answer> call(boost::beast::http::verb method, const job_id &job,
+                                             std::string body);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    [[nodiscard]] std::size_t draw(std::size_t below);
+
+    boost::asio::io_context &m_loop;
+    std::vector<endpoint> m_fronts;
+    run_audit &m_audit;
+    std::mt19937 m_random;
+    std::size_t m_active{0};
+};
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/soak_daemon.cpp
@@ -0,0 +1,71 @@
+#include "soak_daemon.hpp"
+
+#include <azurelb/http/endpoint.hpp>
+
+#include <csignal>
+#include <utility>
+
+#include <sys/wait.h>
+
+namespace azurelb::soak {
+
+namespace {
+
+boost::asio::ip::tcp::endpoint anyPort()
+{
+    return {boost::asio::ip::address_v4::loopback(), 0};
+}
+
+} // namespace
+
+soak_daemon::soak_daemon(boost::asio::io_context &loop, std::string name, const std::string &store)
+    : m_name{std::move(name)}
+    , m_proxy{loop, anyPort(), *parseEndpoint(store)}
+{ }
+
+void soak_daemon::start()
+{
+    if (m_process) {
+        const auto lines = m_process->lines();
+        m_lines.insert(m_lines.end(), lines.begin(), lines.end());
+    }
+    m_process.reset();
+    const std::string store = standin::toString(m_proxy.address());
+    m_process = std::make_unique<test::child_process>(
+        test::builtProgram("azurelb_platformd"),
+        test::child_process::string_list{
+            "--vm_id=" + m_name, "--zone=zone-a", "--listen=" + m_front.text(),
+            "--readiness_listen=" + m_ready.text(), "--relay_listen=" + m_relay.text(),
+            "--store_endpoint=" + store, "--vm_service_endpoint=" + store, "--metrics_port=0",
+            "--shutdown_grace_s=3"});
+}
+
+void soak_daemon::signal(int number)
+{
+    if (!isGone())
+        m_process->signal(number);
+}
+
+bool soak_daemon::isGone()
+{
+    return !m_process || m_process->hasEnded();
+}
+
+void soak_daemon::setStoreFault(const std::string &fault)
+{
+    standin::request asked{standin::http::verb::post, "/_standin/fault", 11};
+    asked.body() = fault;
+    (void)m_proxy.control("fault", asked);
+}
+
+test::child_process::string_list soak_daemon::lines()
+{
+    auto all = m_lines;
+    if (m_process) {
+        const auto now = m_process->lines();
+        all.insert(all.end(), now.begin(), now.end());
+    }
+    return all;
+}
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/soak_daemon.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <standin/forwarder.hpp>
+#include <support/child_process.hpp>
+#include <support/reserved_port.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+
+namespace azurelb::soak {
+
+/** One azurelb_platformd, which reaches the store through a proxy of its own. */
+class soak_daemon
+{
+public:
+    soak_daemon(boost::asio::io_context &loop, std::string name, const std::string &store);
+
+    void start();
+    /** Ends only the process that this object started. */
+    void signal(int number);
+    /** Whether the process has ended or none was started. */
+    [[nodiscard]] bool isGone();
+    /** Sets the proxy's fault, in the stand-ins' control format. */
+    void setStoreFault(const std::string &fault);
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint front() const { return m_front.address(); }
+    [[nodiscard]] const std::string &name() const noexcept { return m_name; }
+    [[nodiscard]] test::child_process::string_list lines();
+
+private:
+    std::string m_name;
+    standin::forwarder m_proxy;
+    test::reserved_port m_front;
+    test::reserved_port m_ready;
+    test::reserved_port m_relay;
+    std::unique_ptr<test::child_process> m_process{};
+    /** Output of earlier processes of this daemon. */
+    test::child_process::string_list m_lines{};
+};
+
+} // namespace azurelb::soak
--- /dev/null
+++ b/test/soak/soak_world.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "executor_endpoint.hpp"
+#include "run_audit.hpp"
+#include "soak_caller.hpp"
+#include "soak_daemon.hpp"
+#include "store_endpoint.hpp"
+
+#include <standin/forwarder.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace azurelb::soak {
+
+struct soak_options
+{
+    unsigned seed{1};
+    std::size_t daemons{4};
+    std::size_t executors{8};
+    std::chrono::milliseconds faultTime{10'000};
+};
+
+/**
+ * Daemons as processes, everything they meet as stand-ins, and faults from outside that come in
+ * series and overlap. After the faults everything is whole again, and all accepted jobs must end.
+ */
+class soak_world
+{
+public:
+    explicit soak_world(const soak_options &options);
+
+    void play();
+
+    [[nodiscard]] const run_audit &audit() const noexcept { return m_audit; }
+    /** Names of the faults that were injected, in order. */
+    [[nodiscard]] const std::string &faults() const noexcept { return m_faults; }
+    [[nodiscard]] std::string logs();
+
+private:
+    struct soak_executor
+    {
+        std::string id{};
+        std::unique_ptr<executor_endpoint> endpoint{};
+        std::unique_ptr<standin::forwarder> proxy{};
+    };
+    struct fault
+    {
+        const char *name;
+        void (soak_world::*inject)();
+    };
+
+    void addExecutors();
+    void writeConfiguration();
+    void run(std::chrono::milliseconds time, bool withFaults);
+    void injectOne();
+    void heal();
+    void revive();
+    void later(std::chrono::milliseconds pause, std::function<void()> action);
+    void setProxy(soak_executor &executor, const std::string &fault);
+    [[nodiscard]] soak_daemon &anyDaemon();
+    [[nodiscard]] soak_executor &anyExecutor();
+    [[nodiscard]] std::size_t draw(std::size_t below);
+    [[nodiscard]] std::chrono::milliseconds drawTime(int least, int most);
+
+    void killDaemon();
+    void stopDaemon();
+    void pauseDaemon();
+    void cutDaemon();
+    void silenceDaemon();
+    void resetDaemon();
+    void crashExecutor();
+    void cutExecutor();
+    void silenceExecutor();
+    void storeDown();
+    void storeSlow();
+    void storeLosesAnswers();
+    void storeDropsHistory();
+
+    static const std::array<fault, 13> injections;
+
+    soak_options m_options;
+    boost::asio::io_context m_loop{};
+    std::mt19937 m_random;
+    run_audit m_audit{};
+    store_endpoint m_store;
+    std::vector<soak_executor> m_executors{};
+    std::vector<std::unique_ptr<soak_daemon>> m_daemons{};
+    std::unique_ptr<soak_caller> m_callers{};
+    std::string m_faults{};
+    /** Ends of faults. */
+    std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers{};
+};
+
+} // namespace azurelb::soak
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -76,16 +76,22 @@
         (void)::kill(m_id, number);
 }
 
+bool child_process::hasEnded()
+{
+    int state = 0;
+    if (!m_ended && ::waitpid(m_id, &state, WNOHANG) == m_id) {
+        m_ended = true;
+        m_exitCode = WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state);
+    }
+    return m_ended;
+}
+
 int child_process::waitForExit(std::chrono::seconds limit)
 {
     constexpr std::chrono::milliseconds pollInterval{5};
     const auto deadline = std::chrono::steady_clock::now() + limit;
-    while (!m_ended) {
-        int state = 0;
-        if (::waitpid(m_id, &state, WNOHANG) == m_id) {
-            m_ended = true;
-            m_exitCode = WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state);
-        } else if (std::chrono::steady_clock::now() > deadline) {
+    while (!hasEnded()) {
+        if (std::chrono::steady_clock::now() > deadline) {
             throw std::runtime_error{"the program does not end"};
         } else {
             std::this_thread::sleep_for(pollInterval);
@@ -106,6 +112,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
+    // Sockets of the test would otherwise stay open in the program.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failure = ::posix_spawn(&m_id, program.c_str(), &actions, nullptr,
                                       pointers(words).data(), pointers(settings).data());
     posix_spawn_file_actions_destroy(&actions);
--- a/test/support/child_process.hpp
+++ b/test/support/child_process.hpp
@@ -43,6 +43,9 @@
 
     void signal(int number) const;
 
+    /** Whether the program has ended. Never waits. */
+    [[nodiscard]] bool hasEnded();
+
     /** Waits for the end; the exit code, or minus the number of the signal that ended it. */
     int waitForExit(std::chrono::seconds limit = generousWait);
 
--- a/test/support/fake_executor.hpp
+++ b/test/support/fake_executor.hpp
@@ -54,11 +54,13 @@
     {
         return m_running;
     }
+    /** Ends that wait for their acknowledgement. */
+    [[nodiscard]] const std::vector<ended_run> &ended() const noexcept { return m_ended; }
+    [[nodiscard]] std::chrono::milliseconds clock(boot_time now) const;
     /** Ends that have been acknowledged since the last call. */
     [[nodiscard]] std::vector<ended_run> takeAcknowledged();
 
 private:
-    [[nodiscard]] std::chrono::milliseconds clock(boot_time now) const;
     void end(const task_id &task, run_end how);
 
     executor_registration m_info;
