Calls are refused at once while the store is known to be away

Ruled out: peers that could have carried the calls (all VMs were turned away). Two reads in a row that fail mark the store as away; reads go on until one succeeds, and meanwhile nothing is sent. A write without an answer alone proves nothing. Events 905 and 906.

--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -54,7 +54,7 @@
         millis += each.capacity.cpu;
     const auto active = std::count_if(pools.begin(), pools.end(),
                                       [](const pool_entry &each) { return !each.standby; });
-    return static_cast<double>(millis / millisPerCore)
+    return static_cast<double>(millis) / millisPerCore
         / static_cast<double>(std::max<std::ptrdiff_t>(active, 1));
 }
 
--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -1,6 +1,7 @@
 #include <azurelb/control/store_keys.hpp>
 #include <azurelb/core/await_callback.hpp>
 #include <azurelb/core/boot_clock.hpp>
+#include <azurelb/core/call_after.hpp>
 #include <azurelb/intake/job_intake.hpp>
 #include <azurelb/jobs/job_codec.hpp>
 #include <azurelb/jobs/job_progress.hpp>
@@ -13,6 +14,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace azurelb {
 
@@ -26,6 +28,9 @@
 /** While the store refuses, an operation is given up after this time, so that the caller can ask
     another daemon: a fifth of the usual deadline. */
 constexpr milliseconds refusalPatience{600};
+/** Reads in a row that fail before the store counts as away. While it turns this VM away, a call
+    goes through another daemon, the first of which may be turned away as well. */
+constexpr unsigned awayBound{2};
 /** Kept back from the deadline for the answer's way to the caller. */
 constexpr milliseconds answerReserve{150};
 
@@ -39,6 +44,7 @@
 job_intake::job_intake(asio::io_context &loop, keyspace &with)
     : m_loop{loop}
     , m_keyspace{with}
+    , m_probeTimer{loop}
 { }
 
 asio::awaitable<void> job_intake::pause()
@@ -47,6 +53,37 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+/**
+ * Load pattern: the store is down for some seconds and all callers keep asking. What cannot be
+ * stored is refused at once, so that nobody waits for it; reads find out when the store is back. A
+ * write without an answer alone proves nothing, as single answers may be lost.
+ */
+void job_intake::probe()
+{
+    if (std::exchange(m_probing, true))
+        return;
+    m_keyspace.get(std::string{store_keys::owner},
+                   [this, alive = std::weak_ptr<bool>{m_alive}](auto &&read) {
+                       if (alive.expired())
+                           return;
+                       m_probing = false;
+                       const bool answers = read.error == keyspace_error::none
+                           || read.error == keyspace_error::missing;
+                       const bool wasAway = isAway();
+                       m_failedProbes = answers ? 0 : m_failedProbes + 1;
+                       if (wasAway != isAway())
+                           logEvent(wasAway ? event::intake_resumed : event::intake_suspended,
+                                    {{"failed_reads", m_failedProbes}});
+                       if (!answers)
+                           callAfter(m_probeTimer, retryPause, m_alive, [this] { probe(); });
+                   });
+}
+
+bool job_intake::isAway() const noexcept
+{
+    return m_failedProbes >= awayBound;
+}
+
 asio::awaitable<keyspace_commit> job_intake::commit(const keyspace_write &write)
 {
     auto outcome = co_await awaitCallback<keyspace_commit>(
@@ -59,12 +96,16 @@
     const boot_time begun = boot_clock::now();
     const boot_time latest = std::min(latestEnd(begun, deadline), begun + refusalPatience);
     while (true) {
+        if (isAway())
+            co_return keyspace_range{keyspace_error::refused, {}, false, 0};
         auto answer = co_await awaitCallback<keyspace_range>(
             m_loop, [this, &key](auto done) { m_keyspace.get(key, std::move(done)); });
         keyspace_range read =
             answer ? std::move(*answer) : keyspace_range{keyspace_error::unknown, {}, false, 0};
         const bool final =
             read.error == keyspace_error::none || read.error == keyspace_error::missing;
+        if (!final)
+            probe();
         if (final || boot_clock::now() + retryPause >= latest)
             co_return read;
         co_await pause();
@@ -78,9 +119,12 @@
     const keyspace_write write{{{key, 0}}, {{key, encode(job), 0}}, {}};
     bool mayExist = false;
     while (true) {
+        if (isAway() && !mayExist)
+            co_return intake_outcome::refused;
         const keyspace_commit outcome = co_await commit(write);
         if (outcome.error == keyspace_error::none || outcome.error == keyspace_error::conflict)
             co_return intake_outcome::done;
+        probe();
         mayExist = mayExist || outcome.error != keyspace_error::refused;
         // Once it may exist only the store can tell, so all the time there is goes into asking.
         const boot_time latest = mayExist
--- a/src/azurelb/intake/job_intake.hpp
+++ b/src/azurelb/intake/job_intake.hpp
@@ -9,9 +9,11 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <string>
 
 namespace azurelb {
@@ -60,8 +62,17 @@
                                                              std::chrono::milliseconds deadline);
     [[nodiscard]] boost::asio::awaitable<void> pause();
 
+    /** Reads a key until the store answers. */
+    void probe();
+    /** Whether the store is known not to take calls. */
+    [[nodiscard]] bool isAway() const noexcept;
+
     boost::asio::io_context &m_loop;
     keyspace &m_keyspace;
+    boost::asio::steady_timer m_probeTimer;
+    bool m_probing{false};
+    unsigned m_failedProbes{0};
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
 };
 
 } // namespace azurelb
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -62,6 +62,8 @@
     job_cancelled = 902,
     job_outcome_unknown = 903,
     job_ended = 904,
+    intake_suspended = 905,
+    intake_resumed = 906,
     run_ordered = 910,
     run_not_started = 911,
     run_stop_ordered = 912,
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -60,6 +60,8 @@
     {event::job_cancelled, severity::info, "job_cancelled"},
     {event::job_outcome_unknown, severity::warning, "job_outcome_unknown"},
     {event::job_ended, severity::info, "job_ended"},
+    {event::intake_suspended, severity::warning, "intake_suspended"},
+    {event::intake_resumed, severity::info, "intake_resumed"},
     {event::run_ordered, severity::info, "run_ordered"},
     {event::run_not_started, severity::info, "run_not_started"},
     {event::run_stop_ordered, severity::info, "run_stop_ordered"},
--- a/test/azurelb/intake/job_intake_test.cpp
+++ b/test/azurelb/intake/job_intake_test.cpp
@@ -1,6 +1,7 @@
 #include <support/fake_keyspace.hpp>
 
 #include <azurelb/control/store_keys.hpp>
+#include <azurelb/core/boot_clock.hpp>
 #include <azurelb/intake/job_intake.hpp>
 #include <azurelb/jobs/job_codec.hpp>
 #include <azurelb/jobs/job_progress.hpp>
@@ -31,6 +32,8 @@
     CPPUNIT_TEST(lostAnswerIsSettled);
     CPPUNIT_TEST(outcomeThatStaysUnknownIsNotRefused);
     CPPUNIT_TEST(cancelsOnlyWhatExists);
+    CPPUNIT_TEST(refusesAtOnceWhileTheStoreIsAway);
+    CPPUNIT_TEST(lostAnswersDoNotCountAsAway);
     CPPUNIT_TEST(tellsTheState);
     CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +80,32 @@
         CPPUNIT_ASSERT(m_store.find(store_keys::jobCancel(job)));
     }
 
+    /** Incident inc-7e8c of cantoria-grown: each of 800 refusals came after 600 ms. */
+    void refusesAtOnceWhileTheStoreIsAway()
+    {
+        m_store.refuses = true;
+        CPPUNIT_ASSERT(submit() == intake_outcome::refused);
+        const unsigned asked = m_store.commits;
+        const boot_time begun = boot_clock::now();
+        CPPUNIT_ASSERT(submit() == intake_outcome::refused);
+        CPPUNIT_ASSERT(state().outcome == intake_outcome::refused);
+        CPPUNIT_ASSERT(boot_clock::now() - begun < milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(asked, m_store.commits);
+        m_store.refuses = false;
+        m_loop.restart();
+        m_loop.run_for(milliseconds{200});
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+    }
+
+    void lostAnswersDoNotCountAsAway()
+    {
+        m_store.lostCommits = 3;
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+        const unsigned asked = m_store.commits;
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+        CPPUNIT_ASSERT_EQUAL(asked + 1, m_store.commits);
+    }
+
     void tellsTheState()
     {
         CPPUNIT_ASSERT(state().outcome == intake_outcome::missing);
--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -129,8 +129,11 @@
 void executor_endpoint::advance(boot_time now)
 {
     m_model.advance(now);
-    for (const ended_run &each : m_model.ended())
+    for (const ended_run &each : m_model.ended()) {
         m_endedAt.try_emplace(each.sequence, now);
+        if (each.end == run_end::done)
+            m_audit.done(each.task);
+    }
 }
 
 void executor_endpoint::crash(boot_time now)
--- a/test/soak/run_audit.cpp
+++ b/test/soak/run_audit.cpp
@@ -20,7 +20,7 @@
         report("two runs at a time: " + name);
     if (m_refused.contains(task.job))
         report("started though all attempts were refused: " + name);
-    if (m_done.contains(task))
+    if (m_acknowledged.contains(task))
         report("started after it was done: " + name);
     m_starts.push_back({task, now});
 }
@@ -29,7 +29,7 @@
 {
     if (!done)
         return;
-    m_done.try_emplace(task, endedAt);
+    m_acknowledged.insert(task);
     const bool again = std::any_of(m_starts.begin(), m_starts.end(), [&](const start_record &each) {
         return each.task == task && each.at > endedAt;
     });
--- a/test/soak/run_audit.hpp
+++ b/test/soak/run_audit.hpp
@@ -25,6 +25,8 @@
 
     /** An executor begins a run; others says how many runs of the task are under way. */
     void started(const task_id &task, const std::string &spec, std::size_t others, boot_time now);
+    /** A run ended as done, whether or not anybody knows. */
+    void done(const task_id &task) { m_done.insert(task); }
     /** An end was acknowledged that came at the time given. */
     void acknowledged(const task_id &task, bool done, boot_time endedAt);
 
@@ -55,8 +57,10 @@
     std::set<job_id> m_refused{};
     std::set<job_id> m_cancelled{};
     std::set<job_id> m_ended{};
-    /** First end of each task that was done and acknowledged. */
-    std::map<task_id, boot_time> m_done{};
+    /** Tasks of which a run has ended as done. */
+    std::set<task_id> m_done{};
+    /** Those of which such an end was acknowledged. */
+    std::set<task_id> m_acknowledged{};
     std::vector<start_record> m_starts{};
     std::vector<std::string> m_violations{};
 };
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -91,11 +91,9 @@
     constexpr std::chrono::milliseconds pollInterval{5};
     const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!hasEnded()) {
-        if (std::chrono::steady_clock::now() > deadline) {
+        if (std::chrono::steady_clock::now() > deadline)
             throw std::runtime_error{"the program does not end"};
-        } else {
-            std::this_thread::sleep_for(pollInterval);
-        }
+        std::this_thread::sleep_for(pollInterval);
     }
     return m_exitCode;
 }
