--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -365,16 +365,13 @@
     if (!executor)
         return;
     for (auto &[task, held] : executor->assignments) {
-        if (held.longRunning && held.phase == assignment_phase::running
-            && mayInterrupt(task, held, now))
+        if (held.longRunning && held.phase == assignment_phase::running && mayInterrupt(task, now))
             stop(*executor, task, held, stop_reason::maintenance, now);
     }
 }
 
-bool scheduler::mayInterrupt(const task_id &task, const assignment &held, boot_time now)
+bool scheduler::mayInterrupt(const task_id &task, boot_time now)
 {
-    if (held.percent < fullPercent)
-        return true;
     const job_entry *const job = m_jobs.find(task.job);
     const step_entry *const step = m_jobs.findStep(task);
     if (!job || !step)
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -115,8 +115,9 @@
     void pace(executor_entry &executor, boot_time now);
     /** Counts failures that point to the executor. */
     void judge(executor_entry &executor, const ended_run &end, boot_time now);
-    /** Whether planned work may end the run now: not too many of its step are unavailable. */
-    [[nodiscard]] bool mayInterrupt(const task_id &task, const assignment &held, boot_time now);
+    /** Whether planned work may end the run now: not too many others of its step are unavailable.
+        A run that starts up may be at work since its last report. */
+    [[nodiscard]] bool mayInterrupt(const task_id &task, boot_time now);
     void noteJobEnd(const job_id &id, boot_time now);
     void stopRunsOf(const job_id &id, boot_time now);
     void stop(executor_entry &executor, const task_id &task, assignment &held, stop_reason reason,
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(spreadsLongRunningTasks);
     CPPUNIT_TEST(vacatesWithinWhatAStepMayMiss);
     CPPUNIT_TEST(runsOnSilentExecutorCountAsUnavailable);
+    CPPUNIT_TEST(startingRunsAreNotInterruptedFreely);
     CPPUNIT_TEST(startsGangWholeOrNotAtAll);
     CPPUNIT_TEST(nothingStartsInEvacuatedZone);
     CPPUNIT_TEST_SUITE_END();
@@ -401,6 +402,21 @@
         CPPUNIT_ASSERT(m_world.decisions().takeOrders().empty());
     }
 
+    /** AVAIL on a hunted day of cantoria: after a takeover all tasks of a step started up, and one
+     * was at work by the time its VM was vacated, though the last report did not say so. */
+    void startingRunsAreNotInterruptedFreely()
+    {
+        m_world.setPlan(lasting);
+        m_world.submit(longRunning(jobA, 2));
+        m_world.advance(milliseconds{500});
+        setAtWork();
+        for (auto &[task, held] : m_world.decisions().executors().find("e1")->assignments)
+            held.percent = 60;
+        m_world.decisions().noteSilence("e2");
+        m_world.decisions().vacate("e1", m_world.now());
+        CPPUNIT_ASSERT(m_world.decisions().takeOrders().empty());
+    }
+
     void startsGangWholeOrNotAtAll()
     {
         job_record gang = makeJob(jobA, 5, 8000);
