A comment named a trial that was not run

Cause: the comment of readyShare said 0.35 had been measured and gave a factor of ten, an estimate. Only 0.5 and 0.7 were run. Ruled out: other code; only this comment changes.

--- a/src/azurelb/capacity/pool_planner.hpp
+++ b/src/azurelb/capacity/pool_planner.hpp
@@ -27,7 +27,7 @@
     std::size_t leastVms{2};
     /** Part of an equal share of all VMs that a pool keeps ready between its turns, while no other
         pool lacks them. A VM that is moved on demand comes 2 s after the first jobs of a turn;
-        those seconds cost ten times what the VM costs in the pool. Measured: 0.35, 0.5, 0.7. */
+        those seconds cost more than the VM does in the pool. Trials: 0.5 and 0.7. */
     double readyShare{0.5};
     /** A VM without runs for this long may leave for a pool that lacks VMs. */
     std::chrono::milliseconds idleTime{300};
