Review, case 4: the job is a timed one, so that it starts well after the late write

The start comes 4.5 s after the store has executed the late write, so that the machine that starts it is in touch by any reading (ContactMs is 3,000).

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -258,8 +258,15 @@
     clock_type::time_point acknowledged{};
     for (int index = 0; index < jobs; ++index) {
         const milliseconds deadline{1000};
+        // A timed job, due 10.5 s after it was handed in.
+        const json::object step{{"Count", 4}, {"Cpu", 1000}, {"MemMb", 256}, {"EstimateMs", 800}};
+        const json::object job{{"Spec", "ms=800"},
+                               {"Phases", json::array{step}},
+                               {"Repeats", 1},
+                               {"FirstRunMs", unixMs() + 10'500},
+                               {"IntervalMs", 1000}};
         const auto got = co_await all.call(*front, http::verb::post, pathOf(index),
-                                           bodyOf("ms=800", 4, 1000, 800), deadline);
+                                           json::serialize(job), deadline);
         if (got.status == 200 && index != hit)
             continue;
         front->faults.executesLate = {};
@@ -275,7 +282,7 @@
     }
     if (acknowledged == clock_type::time_point{})
         co_return couldNotRun;
-    co_await pause(milliseconds{9000});
+    co_await pause(milliseconds{13'000});
     (void)co_await all.call(*front, http::verb::get, pathOf(hit));
     int late = 0;
     for (const auto &each : all.starts) {
