--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -152,7 +152,9 @@
         co_await pause(milliseconds{500});
         all.start(former);
         (void)co_await all.waitUntil(
-            [&] { return !all.owner().empty() && all.platformStore.revisionOf("azurelb/owner") > 0; },
+            [&] {
+                return !all.owner().empty() && all.platformStore.revisionOf("azurelb/owner") > 0;
+            },
             milliseconds{8000});
     }
     // In touch: ContactMs (3 s) after the disruption.
@@ -215,9 +217,8 @@
     }
     record("roll_term: the owner %s is stopped", former.name.c_str());
     all.signal(former, SIGTERM);
-    if (!co_await all.waitUntil(
-            [&] { return !all.owner().empty() && all.owner() != former.name; },
-            milliseconds{6000}))
+    if (!co_await all.waitUntil([&] { return !all.owner().empty() && all.owner() != former.name; },
+                                milliseconds{6000}))
         co_return couldNotRun;
     record("%s is the owner", all.owner().c_str());
     co_await pause(milliseconds{8000});
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -43,8 +43,10 @@
             loop.run_one_for(std::chrono::milliseconds{100});
         if (!over)
             record("the case took too long");
-        record("%s", result == 0 ? "the rule held" : result == 1 ? "THE RULE WAS BROKEN"
-                                                                  : "the case could not run");
+        record("%s",
+               result == 0       ? "the rule held"
+                   : result == 1 ? "THE RULE WAS BROKEN"
+                                 : "the case could not run");
     }
     std::_Exit(result);
 }
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -367,7 +367,8 @@
             }
             items.push_back(encode(each->first, each->second));
         }
-        made = reply(200, {{"items", std::move(items)}, {"HasMore", more}, {"CurrentRev", m_revision}});
+        made = reply(200,
+                     {{"items", std::move(items)}, {"HasMore", more}, {"CurrentRev", m_revision}});
     } else if (path == "/azurelb/kv-watch") {
         const std::string prefix = parameter(target, "Prefix");
         const std::int64_t after = number(parameter(target, "After"));
@@ -435,6 +436,13 @@
     co_return made;
 }
 
+void store::clear()
+{
+    m_items.clear();
+    m_history.clear();
+    m_leases.clear();
+}
+
 void store::save(const std::string &path) const
 {
     json::array items;
@@ -445,8 +453,8 @@
                                          {"Revision", each.revision},
                                          {"Created", each.created}});
     }
-    std::ofstream{path} << json::serialize(json::object{{"CurrentRev", m_revision},
-                                                        {"items", std::move(items)}})
+    std::ofstream{path} << json::serialize(
+        json::object{{"CurrentRev", m_revision}, {"items", std::move(items)}})
                         << '\n';
 }
 
@@ -491,9 +499,10 @@
     made.name = name;
     made.flagfile = m_folder + '/' + name + ".flags";
     made.log = m_folder + '/' + name + ".log";
-    made.storePort = std::make_unique<server>(loop, [this, &made](request call, clock_type::time_point) {
-        return platformStore.serve(made.faults, std::move(call));
-    });
+    made.storePort =
+        std::make_unique<server>(loop, [this, &made](request call, clock_type::time_point) {
+            return platformStore.serve(made.faults, std::move(call));
+        });
     made.vmPort = std::make_unique<server>(
         loop, [this](request call, clock_type::time_point) { return serveVms(std::move(call)); });
     made.callers = freePort();
@@ -502,9 +511,8 @@
     std::ofstream{made.flagfile}
         << "--vm_id=" << name << "\n--zone=milano\n--listen=" << ip << made.callers
         << "\n--readiness_listen=" << ip << freePort() << "\n--relay_listen=" << ip << freePort()
-        << "\n--metrics_ip=127.0.0.1\n--metrics_port=" << freePort()
-        << "\n--store_endpoint=" << ip << made.storePort->port()
-        << "\n--vm_service_endpoint=" << ip << made.vmPort->port()
+        << "\n--metrics_ip=127.0.0.1\n--metrics_port=" << freePort() << "\n--store_endpoint=" << ip
+        << made.storePort->port() << "\n--vm_service_endpoint=" << ip << made.vmPort->port()
         << "\n--processors=0.25\n--shutdown_grace_s=6\n--max_lease_ms=6000\n--stop_grace_ms=900"
            "\n--vm_lease_ms=3000\n--move_s=1.5\n--maintenance_s=2\n--cancellation_bound_ms=3000"
            "\n--drain_bound_ms=2000\n--configuration_bound_ms=2000\n--evacuation_bound_ms=5000\n";
@@ -627,9 +635,10 @@
     made.pool = pool;
     made.born = unixMs();
     made.startedAt = clock_type::now();
-    made.listener = std::make_unique<server>(loop, [this, &made](request call, clock_type::time_point acceptedAt) {
-        return serveExecutor(made, std::move(call), acceptedAt);
-    });
+    made.listener = std::make_unique<server>(
+        loop, [this, &made](request call, clock_type::time_point acceptedAt) {
+            return serveExecutor(made, std::move(call), acceptedAt);
+        });
     registerExecutor(made);
     return made;
 }
@@ -653,18 +662,19 @@
 
 void world::writeConfig(std::int64_t version)
 {
-    const json::object queue{{"Name", "loft-sketch"}, {"Host", "pule25.example"},
-                             {"Prefix", "/puxa400/"}, {"Service", service},
-                             {"Attempts", 4},         {"Stretch", 2.0},
+    const json::object queue{{"Name", "loft-sketch"},  {"Host", "pule25.example"},
+                             {"Prefix", "/puxa400/"},  {"Service", service},
+                             {"Attempts", 4},          {"Stretch", 2.0},
                              {"TargetDurationMs", 600}};
     const json::object tenant{
         {"Name", "lecco"}, {"ApiKeys", json::array{"key-1"}}, {"Weight", 1000}};
-    platformStore.put("op/config",
-                      json::serialize(json::object{{"Version", version},
-                                                   {"Routes", json::array{queue}},
-                                                   {"Services", json::array{json::object{{"Name", service}}}},
-                                                   {"Tenants", json::array{tenant}},
-                                                   {"Limits", json::object{}}}));
+    platformStore.put(
+        "op/config",
+        json::serialize(json::object{{"Version", version},
+                                     {"Routes", json::array{queue}},
+                                     {"Services", json::array{json::object{{"Name", service}}}},
+                                     {"Tenants", json::array{tenant}},
+                                     {"Limits", json::object{}}}));
     record("operator: configuration %ld written and acknowledged", static_cast<long>(version));
 }
 
@@ -811,7 +821,8 @@
         return refuse("late");
     takeLease(which, integerOf(in, "ExpiresMs"));
     const auto highest = which.highest.find(task);
-    if (present != which.running.end() || (highest != which.highest.end() && run <= highest->second))
+    if (present != which.running.end()
+        || (highest != which.highest.end() && run <= highest->second))
         return refuse("old");
     // The specification says how long the task runs: "ms=800", or "lasts".
     const std::string spec = textOf(in, "Spec");
@@ -844,8 +855,7 @@
     highest = std::max(highest, run);
     const auto present = which.running.find(task);
     if (present != which.running.end() && present->second.number <= run
-        && !present->second.stopping)
-    {
+        && !present->second.stopping) {
         present->second.stopping = true;
         present->second.stopsAt = now + which.stopTime;
         if (logRuns)
@@ -861,12 +871,11 @@
     while (!which.ends.empty() && which.ends.front().sequence <= lastSeen) {
         const executor::end each = which.ends.front();
         which.ends.pop_front();
-        const bool lapsed =
-            std::any_of(which.lapses.begin(), which.lapses.end(),
-                        [&](const auto &at) { return at >= each.at && at <= now; });
+        const bool lapsed = std::any_of(which.lapses.begin(), which.lapses.end(),
+                                        [&](const auto &at) { return at >= each.at && at <= now; });
         for (auto &known : endings) {
-            if (known.task == each.task && known.number == each.number
-                && known.executor == which.id && known.at <= now)
+            if (known.task == each.task && known.number == each.number && known.executor == which.id
+                && known.at <= now)
                 known.takenNote = !lapsed;
         }
     }
@@ -888,7 +897,8 @@
     for (const auto &[task, run] : which.running) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - run.startedAt).count();
         const auto whole = run.lasts ? 900 : std::max<std::int64_t>(run.duration.count(), 1);
-        running.push_back(json::array{task, run.number, "", std::min<std::int64_t>(100, age * 100 / whole), 0});
+        running.push_back(
+            json::array{task, run.number, "", std::min<std::int64_t>(100, age * 100 / whole), 0});
     }
     json::array ended;
     for (const auto &each : which.ends) {
@@ -896,10 +906,11 @@
             break;
         ended.push_back(json::array{each.sequence, each.task, each.number, each.how, ""});
     }
-    co_return reply(200, {{"ClockMs", which.clock(now)},
-                          {"Running", std::move(running)},
-                          {"EndedRuns", std::move(ended)},
-                          {"born", which.born}});
+    co_return reply(200,
+                    {{"ClockMs", which.clock(now)},
+                     {"Running", std::move(running)},
+                     {"EndedRuns", std::move(ended)},
+                     {"born", which.born}});
 }
 
 asio::awaitable<answer> world::serveVms(request call)
@@ -942,9 +953,9 @@
                 if (++broken <= mostShown)
                     record("TWICE: %s run %ld started on %s at %.3f s, though run %ld had ended "
                            "done on %s at %.3f s and that end was taken note of",
-                           each.task.c_str(), static_cast<long>(each.number),
-                           each.executor.c_str(), secondsOf(each.at), static_cast<long>(end.number),
-                           end.executor.c_str(), secondsOf(end.at));
+                           each.task.c_str(), static_cast<long>(each.number), each.executor.c_str(),
+                           secondsOf(each.at), static_cast<long>(end.number), end.executor.c_str(),
+                           secondsOf(end.at));
                 break;
             }
         }
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -96,6 +96,8 @@
     void remove(const std::string &key);
     [[nodiscard]] std::string get(const std::string &key) const;
     [[nodiscard]] std::int64_t revisionOf(const std::string &key) const;
+    /** Begins anew; the revisions go on. */
+    void clear();
     /** Saves and loads all keys that are under no lease. */
     void save(const std::string &path) const;
     bool load(const std::string &path);
@@ -226,7 +228,8 @@
     daemon_process *findDaemon(const std::string &name);
     asio::awaitable<bool> waitUntil(std::function<bool()> holds, milliseconds atMost);
     asio::awaitable<call_result> call(daemon_process &to, http::verb method, std::string target,
-                                      std::string body = {}, milliseconds deadline = milliseconds{3000});
+                                      std::string body = {},
+                                      milliseconds deadline = milliseconds{3000});
 
     /** Rule TWICE, as written: returns the number of starts that break it, and records them. */
     int checkTwice();
