Scheduler: runs whose orders may have reached a new incarnation are kept

Cause: the end of an incarnation was taken for the end of every run with the executor's identifier, also of those that the new incarnation had started before the owner knew of it. Only a report that lists a run proves whose run it is.

Ruled out: that the report overlooked them; the tasks start elsewhere before the new incarnation's first report is requested.

A run that the former incarnation has listed ends with it. Any other run stays assigned until the new incarnation has reported, after the order's answer. On the same path: a report of another incarnation is applied instead of dropped; a new owner waits for an incarnation that the store does not record; leases meant for the former clock are bounded by the longest term; an order that waits for its connection is withheld once its run was given up; the first report on a new connection acknowledges nothing; a record of the former incarnation that is written late does not count.

--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -67,6 +67,8 @@
     /** Sets the fencing token of all later calls. */
     virtual void setToken(std::int64_t token) = 0;
 
+    /** On a new connection, which may reach another incarnation, acknowledgement and lease may be
+        left out once; the answer then comes without a wait. */
     virtual void report(const report_request &request, report_handler done) = 0;
     /** Asks for the permission right before the order is sent; without it, the outcome is
         start_outcome::withheld. */
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -314,7 +314,7 @@
 void owner::retireEndedExecutors()
 {
     for (const executor_incarnation &each : m_scheduler.takeEndedIncarnations()) {
-        if (each.listed)
+        if (each.isFinal)
             m_endedIncarnations.insert(incarnationKey(each.executor, each.startedUnixMs));
         if (const auto listed = m_registered.find(each.executor);
             listed != m_registered.end() && listed->second.startedUnixMs == each.startedUnixMs)
@@ -364,14 +364,17 @@
     const executor_entry *const executor = m_scheduler.executors().find(order.executor);
     if (!executor)
         return;
+    const auto sent = std::make_shared<const start_order>(order);
     m_services.executors.start(
         executor->info.address, order,
-        [this, alive = std::weak_ptr<bool>{m_alive}] {
-            return !alive.expired() && permits(order_kind::start);
+        [this, sent, alive = std::weak_ptr<bool>{m_alive}] {
+            return !alive.expired() && permits(order_kind::start)
+                && m_scheduler.isStartPending(*sent);
         },
-        [this, order, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
+        [this, sent, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
             if (alive.expired())
                 return;
+            const start_order &order = *sent;
             if (outcome == start_outcome::fenced) {
                 m_onLost("an executor has accepted orders from a newer owner");
                 return;
--- a/src/azurelb/control/owner_metrics.cpp
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -72,6 +72,19 @@
         .Increment();
 }
 
+void owner_metrics::write(const executor_restarted_notice &notice)
+{
+    logEvent(event::executor_restarted,
+             {{"executor", notice.executor},
+              {"born", notice.startedUnixMs},
+              {"ended_runs", notice.endedRuns},
+              {"undecided_runs", notice.undecidedRuns}});
+    m_registry
+        .counter("azurelb_executors_restarted_total",
+                 "Restarts of executors under their identifiers.")
+        .Increment();
+}
+
 void owner_metrics::write(const executor_suspended_notice &notice)
 {
     logEvent(event::executor_suspended, {{"executor", notice.executor}, {"reason", notice.reason}});
--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -39,6 +39,7 @@
     void write(const job_started_notice &notice);
     void write(const job_ended_notice &notice);
     void write(const run_ended_notice &notice);
+    void write(const executor_restarted_notice &notice);
     void write(const executor_suspended_notice &notice);
 
     metrics &m_registry;
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -90,7 +90,7 @@
     collectExecutors();
     for (std::string &key : std::exchange(m_removals, {})) {
         if (!isRecordNeeded(key))
-            m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}});
+            m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}, 0});
     }
 }
 
@@ -111,7 +111,8 @@
         m_units.push_back(
             {{{{key, job->storedRevision}}, {{key, encode(job_table::progressOf(*job)), 0}}, {}},
              id,
-             {}});
+             {},
+             0});
     }
 }
 
@@ -122,7 +123,8 @@
             m_units.push_back(
                 {{{}, {{store_keys::executor(id), encodeRegistration(executor.info), 0}}, {}},
                  {},
-                 id});
+                 id,
+                 executor.info.startedUnixMs});
     }
 }
 
@@ -178,7 +180,8 @@
     for (const write_unit &each : chunk) {
         if (job_entry *const job = m_scheduler.jobs().find(each.job))
             job->storedRevision = revision;
-        if (executor_entry *const executor = m_scheduler.executors().find(each.enrolled))
+        executor_entry *const executor = m_scheduler.executors().find(each.enrolled);
+        if (executor && executor->info.startedUnixMs == each.enrolledStartedUnixMs)
             executor->ownershipRecorded = true;
     }
 }
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -52,6 +53,8 @@
         keyspace_write write{};
         job_id job{};
         executor_id enrolled{};
+        /** Start time of the enrolled incarnation, Unix time in milliseconds. */
+        std::int64_t enrolledStartedUnixMs{0};
     };
 
     void flush();
--- a/src/azurelb/http/http_client.cpp
+++ b/src/azurelb/http/http_client.cpp
@@ -13,9 +13,14 @@
     close();
 }
 
+bool http_client::isConnected() const noexcept
+{
+    return m_connection && m_connection->isReusable();
+}
+
 void http_client::call(http_request request, http_timeouts timeouts, http_handler handler)
 {
-    if (m_connection && !m_connection->isReusable())
+    if (!isConnected())
         close();
     if (!m_connection)
         m_connection = std::make_shared<internal::http_connection>(*m_loop, m_peer);
--- a/src/azurelb/http/http_client.hpp
+++ b/src/azurelb/http/http_client.hpp
@@ -33,6 +33,10 @@
      */
     void call(http_request request, http_timeouts timeouts, http_handler handler);
 
+    /** Returns whether the next call will use the present connection. Precondition: no exchange is
+        in progress. */
+    [[nodiscard]] bool isConnected() const noexcept;
+
     /** Closes the connection and discards the handler of an exchange in progress. */
     void close() noexcept;
 
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -71,6 +71,7 @@
     executor_silent = 920,
     executor_ended = 921,
     executor_suspended = 922,
+    executor_restarted = 923,
     owner_elected = 930,
     owner_ready = 931,
     owner_lost = 932,
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -69,6 +69,7 @@
     {event::executor_silent, severity::warning, "executor_silent"},
     {event::executor_ended, severity::info, "executor_ended"},
     {event::executor_suspended, severity::warning, "executor_suspended"},
+    {event::executor_restarted, severity::info, "executor_restarted"},
     {event::owner_elected, severity::info, "owner_elected"},
     {event::owner_ready, severity::info, "owner_ready"},
     {event::owner_lost, severity::warning, "owner_lost"},
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -42,6 +42,8 @@
     boot_time requestedAt{};
     /** When the executor last confirmed the phase; reports requested later must list the run. */
     boot_time confirmedAt{};
+    /** The executor's present incarnation has listed the run. */
+    bool reported{false};
     bool stopConfirmed{false};
     stop_reason stopReason{stop_reason::not_wanted};
     boot_time stopSentAt{};
@@ -80,6 +82,11 @@
     bool inherited{false};
     /** The executor has answered this owner and therefore rejects orders of earlier ones. */
     bool contacted{false};
+    /** Start time of the incarnation before this one; 0 if this owner knew none. */
+    std::int64_t formerStartedUnixMs{0};
+    /** Leases meant for the clock of a former incarnation may have reached this one, whose clock
+        began anew: it shortens them to the longest term only. */
+    bool mayHoldFormerLeases{false};
     /** The last call to it failed. */
     bool unresponsive{false};
     /** Maintenance of its VM is imminent: it gets no new runs. */
--- a/src/azurelb/scheduling/executor_incarnation.hpp
+++ b/src/azurelb/scheduling/executor_incarnation.hpp
@@ -12,9 +12,9 @@
     executor_id executor{};
     /** Start time, Unix time in milliseconds. */
     std::int64_t startedUnixMs{0};
-    /** The store still lists it. An incarnation that is not listed may register again: it was only
-        unreachable for a while. */
-    bool listed{false};
+    /** Its registration must be ignored from now on: the store may still list it although it has
+        ended. Otherwise it was only unreachable for a while and may register again. */
+    bool isFinal{false};
 };
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -85,6 +85,30 @@
     m_executors.erase(id);
 }
 
+void executor_table::restart(executor_entry &executor, std::int64_t startedUnixMs,
+                             boot_time now) const
+{
+    executor.formerStartedUnixMs = std::exchange(executor.info.startedUnixMs, startedUnixMs);
+    executor.registered = false;
+    executor.ownershipRecorded = false;
+    // Once this owner has contacted an executor, it accepts no orders of earlier ones.
+    executor.inherited = executor.inherited && !executor.contacted;
+    executor.contacted = false;
+    executor.unresponsive = false;
+    executor.clock = milliseconds{0};
+    executor.clockReadAt = {};
+    executor.mayHoldFormerLeases = true;
+    executor.latestLeaseEnd = std::max(
+        executor.latestLeaseEnd,
+        now + std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
+            + m_options.leaseMargin);
+    executor.lastProcessedEnd = 0;
+    executor.lastStoredEnd = 0;
+    executor.consecutiveFailures = 0;
+    executor.lastFailedJob.clear();
+    executor.suspendedUntil = {};
+}
+
 void executor_table::removeFromPool(const executor_entry &executor)
 {
     std::erase(m_pools[executor.info.pool], &executor);
@@ -133,8 +157,9 @@
 
 void executor_table::capEarlierLeases(executor_entry &executor, boot_time now) const noexcept
 {
-    const auto term =
-        std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor);
+    const milliseconds longest =
+        executor.mayHoldFormerLeases ? m_options.maxLeaseTerm : m_options.leaseTerm;
+    const auto term = std::chrono::duration_cast<milliseconds>(longest * slowClockFactor);
     executor.latestLeaseEnd = std::min(executor.latestLeaseEnd, now + term + m_options.leaseMargin);
 }
 
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -23,8 +23,8 @@
 public:
     explicit executor_table(const scheduling_options &options);
 
-    /** Inserts or updates the executor. An earlier incarnation with the same identifier must have
-        been erased. */
+    /** Inserts or updates the executor. Call erase() or restart() before if an earlier incarnation
+        with the same identifier is known. */
     executor_entry &insert(const executor_registration &info, boot_time now);
 
     [[nodiscard]] executor_entry *find(const executor_id &id) noexcept;
@@ -32,6 +32,10 @@
     [[nodiscard]] assignment *find(const executor_id &id, const task_id &task) noexcept;
     void erase(const executor_id &id);
 
+    /** Resets what is known of the executor's former incarnation. Its assignments stay. The new one
+        counts as not registered until insert() is called. */
+    void restart(executor_entry &executor, std::int64_t startedUnixMs, boot_time now) const;
+
     /** Reserves resources for a run. */
     assignment &assign(executor_entry &executor, const task_id &task, assignment added);
 
--- a/src/azurelb/scheduling/notices.hpp
+++ b/src/azurelb/scheduling/notices.hpp
@@ -6,6 +6,8 @@
 #include <azurelb/scheduling/run_end.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +41,18 @@
     executor_id executor{};
 };
 
+/** An executor has restarted under its identifier. */
+struct executor_restarted_notice
+{
+    executor_id executor{};
+    /** Start time of the new incarnation, Unix time in milliseconds. */
+    std::int64_t startedUnixMs{0};
+    /** Runs that ended with the former incarnation. */
+    std::size_t endedRuns{0};
+    /** Runs that may be on the new incarnation; its reports decide. */
+    std::size_t undecidedRuns{0};
+};
+
 /** An executor was suspended; afterwards it gets one short run at a time until one is done. */
 struct executor_suspended_notice
 {
@@ -47,8 +61,8 @@
 };
 
 /** Events of the scheduler for logs and metrics. */
-using scheduling_notice =
-    std::variant<job_started_notice, job_ended_notice, run_ended_notice, executor_suspended_notice>;
+using scheduling_notice = std::variant<job_started_notice, job_ended_notice, run_ended_notice,
+                                       executor_restarted_notice, executor_suspended_notice>;
 using scheduling_notices = std::vector<scheduling_notice>;
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -32,6 +32,13 @@
 /** Time for which a long-running task must have reported full progress to count as available. */
 constexpr milliseconds minTimeAtWork{200};
 
+/** Returns whether the start time is known and differs from that of the known incarnation. */
+bool isOtherIncarnation(const executor_entry &known, std::int64_t startedUnixMs) noexcept
+{
+    return known.info.startedUnixMs != 0 && startedUnixMs != 0
+        && known.info.startedUnixMs != startedUnixMs;
+}
+
 } // namespace
 
 scheduler::scheduler(const scheduling_options &options, run_number runBase)
@@ -95,14 +102,39 @@
 
 void scheduler::registerExecutor(const executor_registration &info, boot_time now)
 {
-    const executor_entry *const known = m_executors.find(info.id);
-    if (known && known->info.startedUnixMs != 0 && info.startedUnixMs != 0
-        && known->info.startedUnixMs != info.startedUnixMs)
-        endExecutor(info.id, now);
+    executor_entry *const known = m_executors.find(info.id);
+    if (known && isOtherIncarnation(*known, info.startedUnixMs)) {
+        // No order to the former address can have reached the new incarnation.
+        if (known->info.address != info.address)
+            endExecutor(info.id, now);
+        else
+            beginIncarnation(*known, info.startedUnixMs, now);
+    }
     m_executors.insert(info, now);
     m_changedPools.insert(info.pool);
 }
 
+/** Runs that the former incarnation has listed ended with it. An order for any other run may have
+    reached the new incarnation instead, whose reports decide. */
+void scheduler::beginIncarnation(executor_entry &executor, std::int64_t startedUnixMs,
+                                 boot_time now)
+{
+    std::vector<task_id> ended;
+    for (auto &[task, held] : executor.assignments) {
+        if (held.reported)
+            ended.push_back(task);
+        // A confirmation may come from the former incarnation, so the stop order is repeated.
+        held.stopConfirmed = false;
+        held.stopSentAt = {};
+    }
+    for (const task_id &task : ended)
+        dropAssignment(executor, task, now);
+    m_notices.emplace_back(executor_restarted_notice{executor.info.id, startedUnixMs, ended.size(),
+                                                     executor.assignments.size()});
+    m_endedIncarnations.push_back({executor.info.id, executor.info.startedUnixMs, true});
+    m_executors.restart(executor, startedUnixMs, now);
+}
+
 void scheduler::inheritExecutor(const executor_registration &info, boot_time now)
 {
     executor_entry &executor = m_executors.insert(info, now);
@@ -166,11 +198,10 @@
     executor_entry *const executor = m_executors.find(id);
     if (!executor)
         return;
-    if (executor->info.startedUnixMs != 0 && report.startedUnixMs != 0
-        && executor->info.startedUnixMs != report.startedUnixMs)
-    {
-        endExecutor(id, now);
-        return;
+    if (isOtherIncarnation(*executor, report.startedUnixMs)) {
+        if (report.startedUnixMs == executor->formerStartedUnixMs)
+            return;
+        beginIncarnation(*executor, report.startedUnixMs, now);
     }
     executor->info.startedUnixMs = report.startedUnixMs;
     executor->clock = report.clock;
@@ -264,6 +295,7 @@
         m_orders.emplace_back(stop_order{executor.info.id, run.task, run.run});
         return;
     }
+    held->reported = true;
     if (held->phase == assignment_phase::requested || held->phase == assignment_phase::unconfirmed)
     {
         held->phase = assignment_phase::running;
@@ -350,6 +382,16 @@
     dropAssignment(*executor, order.task, now);
 }
 
+bool scheduler::isStartPending(const start_order &order) const
+{
+    const executor_entry *const executor = m_executors.find(order.executor);
+    if (!executor)
+        return false;
+    const auto held = executor->assignments.find(order.task);
+    return held != executor->assignments.end() && held->second.run == order.run
+        && held->second.phase == assignment_phase::requested;
+}
+
 void scheduler::applyStopOutcome(const stop_order &order, bool confirmed, boot_time now)
 {
     assignment *const held = m_executors.find(order.executor, order.task);
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -46,7 +46,8 @@
     /** Cancels a job and stops its runs. */
     void cancelJob(const job_id &id, boot_time now);
 
-    /** Adds or updates an executor. A new incarnation ends the previous one and its runs. */
+    /** Adds or updates an executor. A new incarnation ends the previous one, and with it the runs
+        that are known to be on the previous one. */
     void registerExecutor(const executor_registration &info, boot_time now);
 
     /** Adds an executor on which an earlier owner may have runs. */
@@ -59,13 +60,18 @@
     /** Removes an executor that is known to have ended, and with it its runs. */
     void endExecutor(const executor_id &id, boot_time now);
 
-    /** Applies a report that was requested at askedAt and arrived at now. */
+    /** Applies a report that was requested at askedAt and arrived at now. A report of a new
+        incarnation ends the previous one, as in registerExecutor(). */
     void applyReport(const executor_id &id, const executor_report &report, boot_time askedAt,
                      boot_time now);
 
     /** Call when the executor did not answer. */
     void markUnresponsive(const executor_id &id);
 
+    /** Returns whether the run still waits for the outcome of its order. An order that has not been
+        sent yet must not be sent otherwise. */
+    [[nodiscard]] bool isStartPending(const start_order &order) const;
+
     void applyStartOutcome(const start_order &order, start_outcome outcome, boot_time now);
 
     /** confirmed is false if no answer came. */
@@ -133,6 +139,7 @@
         [[nodiscard]] bool mayHaveRoom(const resources &wanted) const;
     };
 
+    void beginIncarnation(executor_entry &executor, std::int64_t startedUnixMs, boot_time now);
     void applyReportedRun(executor_entry &executor, const reported_run &run, boot_time now);
     void adoptRun(executor_entry &executor, const reported_run &run, boot_time now);
     void applyReportedEnds(executor_entry &executor, const executor_report &report, boot_time now);
--- a/src/azurelb/scheduling/scheduling_options.hpp
+++ b/src/azurelb/scheduling/scheduling_options.hpp
@@ -13,6 +13,8 @@
         to renew it after a failover (1.5 s of lease in the store and the first contact), short
         enough that runs on a lost executor soon restart elsewhere. */
     std::chrono::milliseconds leaseTerm{3000};
+    /** Longest lease that an executor grants; from the deployment's settings. */
+    std::chrono::milliseconds maxLeaseTerm{6000};
     /** Longest time that an executor takes to stop a run; from the deployment's settings. */
     std::chrono::milliseconds stopGrace{900};
     /** Time after the last confirmed renewal of its lease during which an owner still gives
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -153,6 +153,7 @@
     CPPUNIT_TEST(inheritedJobsWaitForAnExecutorThatTheListMayNotShowYet);
     CPPUNIT_TEST(startsNothingWhileTheWatchOfJobsIsSilent);
     CPPUNIT_TEST(withholdsAnOrderThatWaitedThroughAPause);
+    CPPUNIT_TEST(withholdsAnOrderWhoseRunWasGivenUp);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -220,6 +221,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string{executorName}, m_gateway.queue.back().order.executor);
     }
 
+    /** The order waits for its connection until the lease of its executor is over and the task has
+        been started elsewhere. An executor that has restarted meanwhile would accept it. */
+    void withholdsAnOrderWhoseRunWasGivenUp()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_gateway.queue.front().maySend());
+        m_gateway.silent = true;
+        run(milliseconds{4500});
+        // An event on the jobs confirms them, so that starts are permitted.
+        m_store.put(store_keys::jobCancel(secondJob), "{}");
+        run(milliseconds{50});
+        CPPUNIT_ASSERT(!m_gateway.queue.front().maySend());
+    }
+
     /** The same after a longer cut, in which the store removes the registration of the executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
--- /dev/null
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -0,0 +1,322 @@
+#include "scheduler_simulation.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <variant>
+
+namespace {
+
+using namespace azurelb;
+using namespace azurelb::test;
+using std::chrono::milliseconds;
+
+constexpr char firstJob[]{"0000000000000000"};
+constexpr char jobA[]{"aaaaaaaaaaaaaaaa"};
+
+/** An executor restarts under its identifier, and orders reach the new incarnation before the owner
+    knows of it. If the owner takes all of its runs for runs of the former incarnation, it starts
+    their tasks elsewhere, and they run twice. */
+class executor_restart_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(executor_restart_test);
+    CPPUNIT_TEST(keepsRunsStartedBeforeTheRegistration);
+    CPPUNIT_TEST(keepsRunsStartedBeforeTheFirstReport);
+    CPPUNIT_TEST(appliesEndsOfTheFirstReport);
+    CPPUNIT_TEST(keepsRunsWhoseOrdersAreAnsweredLater);
+    CPPUNIT_TEST(settlesUnansweredOrdersBeforeTheTaskStartsAgain);
+    CPPUNIT_TEST(restartsReportedRunsAtOnce);
+    CPPUNIT_TEST(restartsUnreportedRunsAfterTheFirstReport);
+    CPPUNIT_TEST(ignoresAReportOfTheFormerIncarnation);
+    CPPUNIT_TEST(placesNothingBeforeTheNewRegistration);
+    CPPUNIT_TEST(newOwnerAdoptsRunsOfAnUnrecordedIncarnation);
+    CPPUNIT_TEST(newOwnerWaitsForAnUnreachableIncarnation);
+    CPPUNIT_TEST(leaseOfTheFormerClockLastsUpToTheLongestTerm);
+    CPPUNIT_TEST(orderOfADroppedRunIsNotPending);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_simulation.addExecutor("e1");
+        m_simulation.addExecutor("e2");
+        m_simulation.advance(milliseconds{500});
+        m_simulation.setPlan([](const task_id &task) {
+            return run_plan{milliseconds{task.job == firstJob ? 20'000 : 2000}, run_end::done};
+        });
+        // Further tasks go to the executor that has one already.
+        m_simulation.submit(makeJob(firstJob, 1));
+        m_simulation.advance(milliseconds{500});
+        m_used = m_simulation.executor("e1").running().empty() ? "e2" : "e1";
+    }
+
+    void tearDown() override
+    {
+        for (const std::string &each : m_simulation.violations())
+            CPPUNIT_FAIL(each);
+    }
+
+    void keepsRunsStartedBeforeTheRegistration()
+    {
+        m_simulation.restartUnnoticed(m_used);
+        m_simulation.submit(makeJob(jobA, 4));
+        m_simulation.advance(milliseconds{40});
+        m_simulation.currentScheduler().registerExecutor(m_simulation.executor(m_used).info(),
+                                                         m_simulation.now());
+        m_simulation.advance(milliseconds{5000});
+        assertEachTaskStarted(jobA, 4, 1);
+    }
+
+    void keepsRunsStartedBeforeTheFirstReport()
+    {
+        m_simulation.restartUnnoticed(m_used);
+        m_simulation.submit(makeJob(jobA, 4));
+        m_simulation.advance(milliseconds{5000});
+        assertEachTaskStarted(jobA, 4, 1);
+    }
+
+    void appliesEndsOfTheFirstReport()
+    {
+        m_simulation.setPlan([](const task_id &) {
+            return run_plan{milliseconds{60}, run_end::done};
+        });
+        m_simulation.restartUnnoticed(m_used);
+        m_simulation.submit(makeJob(jobA, 4));
+        m_simulation.advance(milliseconds{5000});
+        assertEachTaskStarted(jobA, 4, 1);
+        CPPUNIT_ASSERT(m_simulation.stateOf(jobA) == job_state::completed);
+    }
+
+    /** A start order waits for its connection while the executor restarts and registers. */
+    void keepsRunsWhoseOrdersAreAnsweredLater()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        addOther(scheduling);
+        scheduling.registerExecutor(registration(2), at(100));
+        advance(scheduling, at(150));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        scheduling.applyStartOutcome(order, start_outcome::started, at(200));
+        scheduling.applyReport("e", report(2, {order.task, order.run, {}, 10, 0}), at(210),
+                               at(220));
+        advance(scheduling, at(300));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+    }
+
+    /** The order may still be carried out by the new incarnation: a stop order prevents that. */
+    void settlesUnansweredOrdersBeforeTheTaskStartsAgain()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.executors().find("e")->ownershipRecorded = true;
+        scheduling.applyStartOutcome(order, start_outcome::unknown, at(600));
+        scheduling.applyReport("e", report(2), at(610), at(620));
+        advance(scheduling, at(700));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT(std::holds_alternative<stop_order>(orders.front()));
+        scheduling.applyStopOutcome(std::get<stop_order>(orders.front()), true, at(710));
+        scheduling.applyReport("e", report(2), at(720), at(730));
+        advance(scheduling, at(800));
+        const executor_orders next = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT(std::get<start_order>(next.front()).run > order.run);
+    }
+
+    /** The former incarnation listed the run, so it ended with it: the task need not wait. */
+    void restartsReportedRunsAtOnce()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        scheduling.applyReport("e", report(1, {order.task, order.run, {}, 10, 0}), at(50), at(60));
+        scheduling.registerExecutor(registration(2), at(100));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+    }
+
+    void restartsUnreportedRunsAfterTheFirstReport()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.executors().find("e")->ownershipRecorded = true;
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+        scheduling.applyReport("e", report(2), at(110), at(120));
+        advance(scheduling, at(200));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT(std::holds_alternative<start_order>(orders.front()));
+    }
+
+    /** Its answer was held up by a partition and arrives after the new registration. */
+    void ignoresAReportOfTheFormerIncarnation()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.applyReport("e", report(1), at(50), at(110));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, scheduling.executors().find("e")->info.startedUnixMs);
+        CPPUNIT_ASSERT(!scheduling.executors().find("e")->contacted);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+    }
+
+    /** A new incarnation may be of another kind, with other labels and another capacity. */
+    void placesNothingBeforeTheNewRegistration()
+    {
+        scheduler scheduling = makeScheduler();
+        scheduling.applyReport("e", report(2), at(50), at(60));
+        scheduling.executors().find("e")->ownershipRecorded = true;
+        scheduling.addJob(makeJob(jobA, 1), {}, 0, false, at(60));
+        advance(scheduling, at(100));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeEndedIncarnations().size());
+        scheduling.registerExecutor(registration(2), at(200));
+        advance(scheduling, at(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeOrders().size());
+    }
+
+    /** The record in the store still names the former incarnation. */
+    void newOwnerAdoptsRunsOfAnUnrecordedIncarnation()
+    {
+        scheduler scheduling{scheduling_options{}, 1000};
+        scheduling.apply(m_simulation.config);
+        scheduling.inheritExecutor(registration(1), at(0));
+        scheduling.addJob(makeJob(jobA, 1), {}, 0, true, at(0));
+        scheduling.registerExecutor(registration(2), at(0));
+        scheduling.executors().find("e")->ownershipRecorded = true;
+        const task_id task{jobA, 0, 0, 0};
+        addOther(scheduling);
+        advance(scheduling, at(100));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        scheduling.applyReport("e", report(2, {task, 7, {}, 10, 0}), at(110), at(120));
+        advance(scheduling, at(200));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        CPPUNIT_ASSERT(scheduling.executors().find("e", task) != nullptr);
+    }
+
+    void newOwnerWaitsForAnUnreachableIncarnation()
+    {
+        scheduler scheduling{scheduling_options{}, 1000};
+        scheduling.apply(m_simulation.config);
+        scheduling.inheritExecutor(registration(1), at(0));
+        scheduling.addJob(makeJob(jobA, 1), {}, 0, true, at(0));
+        scheduling.registerExecutor(registration(2), at(0));
+        addOther(scheduling);
+        advance(scheduling, at(5900));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        advance(scheduling, at(12'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeOrders().size());
+    }
+
+    /** The end of a lease that was meant for the former clock lies far ahead on the new one, whose
+        executor shortens it to the longest term only. */
+    void leaseOfTheFormerClockLastsUpToTheLongestTerm()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(90));
+        scheduling.applyReport("e", report(2, {order.task, order.run, {}, 10, 0}), at(100),
+                               at(110));
+        scheduling.markUnresponsive("e");
+        advance(scheduling, at(6100));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+    }
+
+    /** Orders wait for a connection: one that is sent after its run was given up would start a
+        second run on a new incarnation, which knows nothing of the former lease. */
+    void orderOfADroppedRunIsNotPending()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        CPPUNIT_ASSERT(scheduling.isStartPending(order));
+        scheduling.markUnresponsive("e");
+        advance(scheduling, at(9000));
+        CPPUNIT_ASSERT(!scheduling.isStartPending(order));
+    }
+
+private:
+    [[nodiscard]] static boot_time at(int millis)
+    {
+        return boot_time{std::chrono::seconds{1000}} + milliseconds{millis};
+    }
+
+    [[nodiscard]] static executor_registration registration(std::int64_t startedUnixMs)
+    {
+        executor_registration info;
+        info.id = "e";
+        info.address = "127.0.0.1:1";
+        info.pool = "pool";
+        info.zone = "zone";
+        info.capacity = {16'000, 65'536, 0};
+        info.startedUnixMs = startedUnixMs;
+        return info;
+    }
+
+    [[nodiscard]] static executor_report report(std::int64_t startedUnixMs)
+    {
+        executor_report made;
+        made.clock = milliseconds{100};
+        made.startedUnixMs = startedUnixMs;
+        return made;
+    }
+
+    [[nodiscard]] static executor_report report(std::int64_t startedUnixMs, reported_run run)
+    {
+        executor_report made = report(startedUnixMs);
+        made.running.push_back(std::move(run));
+        return made;
+    }
+
+    /** Returns a scheduler whose only executor has reported that nothing runs on it. */
+    [[nodiscard]] scheduler makeScheduler() const
+    {
+        scheduler made{scheduling_options{}, 1000};
+        made.apply(m_simulation.config);
+        made.registerExecutor(registration(1), at(-100));
+        made.executors().find("e")->ownershipRecorded = true;
+        made.applyReport("e", report(1), at(-60), at(-50));
+        return made;
+    }
+
+    /** Adds an executor that may get runs. */
+    static void addOther(scheduler &scheduling)
+    {
+        executor_registration info = registration(1);
+        info.id = "other";
+        info.address = "127.0.0.1:2";
+        scheduling.registerExecutor(info, at(0));
+        scheduling.executors().find(info.id)->ownershipRecorded = true;
+        scheduling.applyReport(info.id, report(1), at(0), at(5));
+    }
+
+    [[nodiscard]] static start_order placeOne(scheduler &scheduling)
+    {
+        scheduling.addJob(makeJob(jobA, 1), {}, 0, false, at(0));
+        advance(scheduling, at(0));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        return std::get<start_order>(orders.front());
+    }
+
+    static void advance(scheduler &scheduling, boot_time now)
+    {
+        scheduling.advance(now, milliseconds{1'000'000}, now);
+    }
+
+    void assertEachTaskStarted(const char *job, std::uint32_t tasks, std::size_t times)
+    {
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            CPPUNIT_ASSERT_EQUAL(times, m_simulation.startsOf({job, 0, 0, index}));
+    }
+
+    scheduler_simulation m_simulation{};
+    /** The executor that gets the next tasks. */
+    std::string m_used{};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(executor_restart_test);
+
+} // namespace
--- a/test/azurelb/scheduling/scheduler_fuzz_test.cpp
+++ b/test/azurelb/scheduling/scheduler_fuzz_test.cpp
@@ -21,6 +21,7 @@
     take_over,
     replace_owner,
     crash,
+    restart_unnoticed,
     disconnect,
     disconnect_former_owner,
     reconnect,
@@ -103,6 +104,9 @@
         case action::crash:
             m_simulation.crash(executorName(argument));
             break;
+        case action::restart_unnoticed:
+            m_simulation.restartUnnoticed(executorName(argument));
+            break;
         case action::disconnect:
             m_simulation.setDisconnected(executorName(argument), true);
             break;
--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -120,6 +120,23 @@
     m_owner->scheduling.registerExecutor(crashed.info(), m_now);
 }
 
+void scheduler_simulation::restartUnnoticed(const std::string &executor,
+                                            milliseconds registersAfter)
+{
+    m_executors.at(executor)->crash(m_now);
+    m_lateRegistrations.push_back({m_now + registersAfter, executor});
+}
+
+void scheduler_simulation::registerRestarted()
+{
+    std::erase_if(m_lateRegistrations, [this](const late_registration &each) {
+        if (each.at > m_now)
+            return false;
+        m_owner->scheduling.registerExecutor(m_executors.at(each.executor)->info(), m_now);
+        return true;
+    });
+}
+
 void scheduler_simulation::setDisconnected(const std::string &executor, bool disconnected)
 {
     if (disconnected)
@@ -146,6 +163,7 @@
     for (const auto &[id, executor] : m_executors)
         executor->advance(m_now);
     executeDelayedOrders();
+    registerRestarted();
     if (m_formerOwner)
         runOwner(*m_formerOwner);
     if (m_formerOwner && (m_formerOwner->fenced || m_now >= m_formerOwner->mustStopAt))
--- a/test/azurelb/scheduling/scheduler_simulation.hpp
+++ b/test/azurelb/scheduling/scheduler_simulation.hpp
@@ -40,7 +40,12 @@
     /** Makes the executor unreachable for the former owner. */
     void disconnectFormerOwner(const std::string &executor);
 
+    /** The executor restarts under its identifier and registers at once. */
     void crash(const std::string &executor);
+    /** The executor restarts under its identifier and registers only after the delay: the owner may
+        learn of it from its next report. */
+    void restartUnnoticed(const std::string &executor,
+                          std::chrono::milliseconds registersAfter = std::chrono::seconds{1});
     /** Sets whether the executor is unreachable for the current owner; a former one reaches it. */
     void setDisconnected(const std::string &executor, bool disconnected);
 
@@ -92,6 +97,12 @@
         std::int64_t startedUnixMs{0};
     };
 
+    struct late_registration
+    {
+        boot_time at{};
+        std::string executor{};
+    };
+
     void makeOwner();
     void step();
     void runOwner(owner_model &owner);
@@ -102,6 +113,7 @@
     [[nodiscard]] start_outcome executeStart(const start_order &order, std::int64_t token);
     [[nodiscard]] std::int64_t incarnationOf(const std::string &executor) const;
     void executeDelayedOrders();
+    void registerRestarted();
     void store(owner_model &owner);
     void checkStart(const start_order &order);
     void recordAcknowledgedEnds();
@@ -123,6 +135,7 @@
     std::chrono::milliseconds m_delay{0};
     bool m_storeDown{false};
     std::vector<delayed_order> m_delayedDeliveries{};
+    std::vector<late_registration> m_lateRegistrations{};
     std::function<run_plan(const task_id &)> m_plan;
     std::map<task_id, std::vector<boot_time>> m_starts{};
     std::map<task_id, std::vector<boot_time>> m_doneEnds{};
