Owner: jobs under an unread configuration, and unread jobs, are not unwanted

Cause: the next owner put jobs of a newer configuration aside as if they did not exist, stopped their runs and acknowledged their ends. The configuration is only needed to start something of a job.

Ruled out: lost progress; it was stored and had been loaded.

Every stored job is added at once and starts nothing before its configuration has been read. A job whose attempts are used up fails once the limit is known. On the same path: runs of a job that is unknown because the watch has not shown it yet are neither stopped nor are their ends acknowledged until the jobs have been read after the report.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -40,6 +40,9 @@
 /** Interval of report requests while ended runs are not yet stored; they renew the lease of the
     executor's other runs. */
 constexpr milliseconds unstoredReportDelay{400};
+/** Interval of report requests while an executor reports runs of jobs that have not been read yet.
+ */
+constexpr milliseconds undecidedReportDelay{100};
 /** Interval at which the counts of waiting jobs are published; they may be two seconds old. */
 constexpr milliseconds publishInterval{500};
 /** How long an ended job can be queried: the 120 s that the platform requires and a margin. */
@@ -127,7 +130,6 @@
     m_scheduler.apply(desired.config);
     m_scheduler.setEvacuatedZones(desired.evacuatedZones);
     m_vmManager.apply(desired);
-    addDeferredJobs();
     scheduleAdvance();
 }
 
@@ -256,10 +258,13 @@
     }
     to.failures = 0;
     to.resetNumbering = false;
+    m_scheduler.setJobsReadAt(m_jobWatcher->state().confirmedAt);
     m_scheduler.applyReport(id, reply.report, askedAt, now);
     scheduleAdvance();
     const executor_entry *const executor = m_scheduler.executors().find(id);
-    if (executor && executor->lastProcessedEnd > executor->lastStoredEnd) {
+    if (executor && m_scheduler.hasUndecidedRuns(*executor)) {
+        requestReportAfter(id, undecidedReportDelay);
+    } else if (executor && executor->lastProcessedEnd > executor->lastStoredEnd) {
         m_writer.scheduleFlush();
         requestReportAfter(id, unstoredReportDelay);
     } else {
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -121,7 +121,8 @@
     void handleJobChange(const keyspace_item &item);
     void addJob(const job_record &record);
     void recordArrival(const job_record &record, boot_time at);
-    void addDeferredJobs();
+    /** Logs that jobs were accepted under a configuration version that this daemon has not read. */
+    void noteNeededVersion(std::int64_t version);
     void beginScheduling();
     void handleRegistration(const executor_registration &info);
     void requestReport(const executor_id &id);
@@ -182,8 +183,8 @@
         store_revision revision{0};
     };
     std::unordered_map<job_id, stored_progress> m_storedProgress{};
-    /** Jobs accepted under a configuration version that this daemon has not read yet. */
-    std::vector<job_record> m_deferredJobs{};
+    /** Highest configuration version under which a job was accepted, if it was unread then. */
+    std::int64_t m_neededVersion{0};
     /** Cancellations that were read before their jobs. */
     std::set<job_id> m_earlyCancellations{};
     desired_state m_desired{};
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -264,10 +264,17 @@
         logEvent(event::stored_value_damaged, {{"key", item.key}});
         return;
     }
-    if (record->configVersion > m_desired.config.version)
-        m_deferredJobs.push_back(*record);
-    else
-        addJob(*record);
+    noteNeededVersion(record->configVersion);
+    addJob(*record);
+}
+
+void owner::noteNeededVersion(std::int64_t version)
+{
+    if (version <= std::max(m_neededVersion, m_desired.config.version))
+        return;
+    m_neededVersion = version;
+    logEvent(event::configuration_behind,
+             {{"version", m_desired.config.version}, {"needed", m_neededVersion}});
 }
 
 void owner::addJob(const job_record &record)
@@ -297,14 +304,4 @@
         m_overload.recordArrival(record.pool, work);
 }
 
-void owner::addDeferredJobs()
-{
-    for (const job_record &each : std::exchange(m_deferredJobs, {})) {
-        if (each.configVersion > m_desired.config.version)
-            m_deferredJobs.push_back(each);
-        else
-            addJob(each);
-    }
-}
-
 } // namespace azurelb
--- a/src/azurelb/control/owner_metrics.cpp
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -85,6 +85,15 @@
         .Increment();
 }
 
+void owner_metrics::write(const unread_job_notice &notice)
+{
+    logEvent(event::run_undecided, {{"executor", notice.executor}, {"job", notice.job}});
+    m_registry
+        .counter("azurelb_runs_undecided_total",
+                 "Reports of runs of jobs that the owner had not read yet.")
+        .Increment();
+}
+
 void owner_metrics::write(const executor_suspended_notice &notice)
 {
     logEvent(event::executor_suspended, {{"executor", notice.executor}, {"reason", notice.reason}});
--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -40,6 +40,7 @@
     void write(const job_ended_notice &notice);
     void write(const run_ended_notice &notice);
     void write(const executor_restarted_notice &notice);
+    void write(const unread_job_notice &notice);
     void write(const executor_suspended_notice &notice);
 
     metrics &m_registry;
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -3,6 +3,7 @@
 #include <azurelb/core/boot_clock.hpp>
 #include <azurelb/jobs/task_id.hpp>
 #include <azurelb/scheduling/executor_registration.hpp>
+#include <azurelb/scheduling/executor_report.hpp>
 #include <azurelb/scheduling/fwd.hpp>
 #include <azurelb/scheduling/stop_reason.hpp>
 
@@ -66,6 +67,13 @@
     [[nodiscard]] bool operator==(const lapsed_run &) const = default;
 };
 
+/** A job that an executor has reported and that this owner has not read. */
+struct unread_job
+{
+    job_id job{};
+    boot_time reportedAt{};
+};
+
 /** Creates the assignment of a new run of a task of the step. */
 [[nodiscard]] assignment makeAssignment(const job_entry &job, const job_step &step, run_number run);
 
@@ -113,6 +121,10 @@
     /** Runs that were given up when their lease expired. Their ends, reported later, count for
         nothing, as their tasks may have been started elsewhere. */
     std::vector<lapsed_run> lapsedRuns{};
+    /** The owner can't tell yet whether these jobs exist. */
+    std::vector<unread_job> unreadJobs{};
+    /** The last report, while unreadJobs is not empty. */
+    executor_report undecidedReport{};
     /** Consecutive jobs whose first failure happened here. */
     unsigned consecutiveFailures{0};
     job_id lastFailedJob{};
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -104,6 +104,8 @@
             + m_options.leaseMargin);
     executor.lastProcessedEnd = 0;
     executor.lastStoredEnd = 0;
+    executor.unreadJobs.clear();
+    executor.undecidedReport = {};
     executor.consecutiveFailures = 0;
     executor.lastFailedJob.clear();
     executor.suspendedUntil = {};
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -356,6 +356,36 @@
     return runs.size();
 }
 
+bool job_table::isExhausted(const job_entry &job)
+{
+    if (job.maxAttempts == 0)
+        return false;
+    for (const occurrence_entry &occurrence : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto &tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const task_id task{job.record.id, occurrence.number, step, index};
+                if (!tasks[index].done && !tasks[index].failedRuns.empty()
+                    && countFailedRuns(job, task) >= job.maxAttempts)
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::vector<job_id> job_table::failExhausted(boot_time now)
+{
+    std::vector<job_id> exhausted;
+    for (const job_entry *const job : m_open) {
+        if (isExhausted(*job))
+            exhausted.push_back(job->record.id);
+    }
+    for (const job_id &id : exhausted)
+        finish(*find(id), job_state::failed, now);
+    return exhausted;
+}
+
 void job_table::finish(job_entry &job, job_state state, boot_time now)
 {
     job.state = state;
--- a/src/azurelb/scheduling/job_table.hpp
+++ b/src/azurelb/scheduling/job_table.hpp
@@ -73,6 +73,9 @@
     /** Applies the end of a run. Does not release the assignment. */
     end_effect applyEnd(const ended_run &end, const executor_id &executor, boot_time now);
 
+    /** Fails the jobs of which a task has failed as often as permitted, and returns them. */
+    [[nodiscard]] std::vector<job_id> failExhausted(boot_time now);
+
     /** Records a checkpoint that a run has saved. Does not mark the job dirty. */
     void recordCheckpoint(const task_id &task, const std::string &checkpoint);
 
@@ -105,6 +108,7 @@
     end_effect applyFailure(job_entry &job, const ended_run &end, const executor_id &executor,
                             boot_time now);
     [[nodiscard]] std::size_t countFailedRuns(const job_entry &job, const task_id &task);
+    [[nodiscard]] bool isExhausted(const job_entry &job);
     void finish(job_entry &job, job_state state, boot_time now);
 
     std::unordered_map<job_id, job_entry> m_jobs{};
--- a/src/azurelb/scheduling/notices.hpp
+++ b/src/azurelb/scheduling/notices.hpp
@@ -53,6 +53,13 @@
     std::size_t undecidedRuns{0};
 };
 
+/** An executor has reported a run of a job that this owner has not read yet. */
+struct unread_job_notice
+{
+    executor_id executor{};
+    job_id job{};
+};
+
 /** An executor was suspended; afterwards it gets one short run at a time until one is done. */
 struct executor_suspended_notice
 {
@@ -61,8 +68,9 @@
 };
 
 /** Events of the scheduler for logs and metrics. */
-using scheduling_notice = std::variant<job_started_notice, job_ended_notice, run_ended_notice,
-                                       executor_restarted_notice, executor_suspended_notice>;
+using scheduling_notice =
+    std::variant<job_started_notice, job_ended_notice, run_ended_notice, executor_restarted_notice,
+                 unread_job_notice, executor_suspended_notice>;
 using scheduling_notices = std::vector<scheduling_notice>;
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -58,6 +58,9 @@
     for (job_entry *const job : m_jobs.openOf(name)) {
         if (job->inherited && pool.hasUnknownRuns)
             continue;
+        // The settings of its queue are unknown until the configuration has been read.
+        if (job->record.configVersion > m_catalogue.version)
+            continue;
         for (occurrence_entry &occurrence : job->occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
                 const step_entry &step = occurrence.steps[index];
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -32,6 +32,16 @@
 /** Time for which a long-running task must have reported full progress to count as available. */
 constexpr milliseconds minTimeAtWork{200};
 
+/** Returns whether the report lists a run or an end of the job. */
+bool mentions(const executor_report &report, const job_id &job)
+{
+    const auto isOfJob = [&job](const auto &each) {
+        return each.task.job == job;
+    };
+    return std::any_of(report.running.begin(), report.running.end(), isOfJob)
+        || std::any_of(report.ended.begin(), report.ended.end(), isOfJob);
+}
+
 /** Returns whether the start time is known and differs from that of the known incarnation. */
 bool isOtherIncarnation(const executor_entry &known, std::int64_t startedUnixMs) noexcept
 {
@@ -54,6 +64,7 @@
         if (const queue_entry *const queue = findQueue(m_catalogue, job->record.queue))
             m_jobs.applyQueueSettings(*job, *queue);
     }
+    m_attemptsChecked = false;
 }
 
 void scheduler::addJob(const job_record &record, const job_progress &stored,
@@ -64,6 +75,16 @@
     if (const queue_entry *const queue = findQueue(m_catalogue, record.queue))
         m_jobs.applyQueueSettings(*m_jobs.find(record.id), *queue);
     m_changedPools.insert(record.pool);
+    m_attemptsChecked = m_attemptsChecked && !inherited;
+}
+
+/** Failures count from the first one on, but end a job only once its queue's limit is known. */
+void scheduler::failExhaustedJobs(boot_time now)
+{
+    for (const job_id &id : m_jobs.failExhausted(now)) {
+        addJobEndNotice(id, now);
+        stopRunsOf(id, now);
+    }
 }
 
 void scheduler::cancelJob(const job_id &id, boot_time now)
@@ -212,15 +233,73 @@
     executor->unresponsive = false;
     if (!wasUsable || !report.ended.empty())
         m_changedPools.insert(executor->info.pool);
+    applyRunsAndEnds(*executor, report, now);
+    reconcileUnlistedRuns(*executor, report, askedAt, now);
+    throttleBackfill(*executor, now);
+}
+
+void scheduler::applyRunsAndEnds(executor_entry &executor, const executor_report &report,
+                                 boot_time now)
+{
     for (const ended_run &each : report.ended)
         m_jobs.openReportedOccurrence(each.task);
     for (const reported_run &each : report.running)
         m_jobs.openReportedOccurrence(each.task);
-    applyReportedEnds(*executor, report, now);
-    for (const reported_run &each : report.running)
-        applyReportedRun(*executor, each, now);
-    reconcileUnlistedRuns(*executor, report, askedAt, now);
-    throttleBackfill(*executor, now);
+    applyReportedEnds(executor, report, now);
+    for (const reported_run &each : report.running) {
+        if (isDecided(executor, each.task.job, now))
+            applyReportedRun(executor, each, now);
+    }
+    std::erase_if(executor.unreadJobs, [&](const unread_job &each) {
+        return m_jobs.find(each.job) || !mentions(report, each.job);
+    });
+    executor.undecidedReport = {};
+    m_undecidedExecutors.erase(executor.info.id);
+    if (!hasUndecidedRuns(executor))
+        return;
+    executor.undecidedReport = report;
+    m_undecidedExecutors.insert(executor.info.id);
+    // The capacity that these runs use is unknown.
+    executor.suspendedUntil = std::max(executor.suspendedUntil, now + noRoomBackoff);
+}
+
+bool scheduler::hasUndecidedRuns(const executor_entry &executor) const
+{
+    return std::any_of(executor.unreadJobs.begin(), executor.unreadJobs.end(),
+                       [this](const unread_job &each) { return each.reportedAt >= m_jobsReadAt; });
+}
+
+void scheduler::applyUndecidedReports(boot_time now)
+{
+    const auto isRead = [this](const unread_job &each) {
+        return m_jobs.find(each.job) != nullptr;
+    };
+    for (const executor_id &id : std::set<executor_id>{m_undecidedExecutors}) {
+        executor_entry *const executor = m_executors.find(id);
+        if (!executor) {
+            m_undecidedExecutors.erase(id);
+            continue;
+        }
+        const auto &unread = executor->unreadJobs;
+        if (std::any_of(unread.begin(), unread.end(), isRead)) {
+            const executor_report report = executor->undecidedReport;
+            applyRunsAndEnds(*executor, report, now);
+        }
+    }
+}
+
+bool scheduler::isDecided(executor_entry &executor, const job_id &id, boot_time now)
+{
+    if (m_jobs.find(id) || m_jobsReadAt > now)
+        return true;
+    auto &unread = executor.unreadJobs;
+    const auto found = std::find_if(unread.begin(), unread.end(),
+                                    [&id](const unread_job &each) { return each.job == id; });
+    if (found != unread.end())
+        return found->reportedAt < m_jobsReadAt;
+    unread.push_back({id, now});
+    m_notices.emplace_back(unread_job_notice{executor.info.id, id});
+    return false;
 }
 
 void scheduler::applyReportedEnds(executor_entry &executor, const executor_report &report,
@@ -229,6 +308,8 @@
     for (const ended_run &each : report.ended) {
         if (each.sequence <= executor.lastProcessedEnd)
             continue;
+        if (!isDecided(executor, each.task.job, now))
+            return;
         executor.lastProcessedEnd = each.sequence;
         applyEnd(executor, each, now);
     }
@@ -331,6 +412,11 @@
 void scheduler::reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
                                       boot_time askedAt, boot_time now)
 {
+    // The end of a run that is not listed may be among those that could not be applied yet.
+    const bool endsApplied =
+        std::none_of(report.ended.begin(), report.ended.end(), [&executor](const ended_run &each) {
+            return each.sequence > executor.lastProcessedEnd;
+        });
     std::vector<task_id> ended;
     for (auto &[task, held] : executor.assignments) {
         const auto isListed = [&task = task, &held = held](const reported_run &each) {
@@ -339,7 +425,7 @@
         const bool listed = std::any_of(report.running.begin(), report.running.end(), isListed);
         const bool settled = held.phase == assignment_phase::running
             || (held.phase == assignment_phase::stopping && held.stopConfirmed);
-        if (settled && !listed && held.confirmedAt < askedAt)
+        if (settled && !listed && held.confirmedAt < askedAt && endsApplied)
             ended.push_back(task);
         else if (held.phase == assignment_phase::stopping && !held.stopConfirmed
                  && held.stopSentAt + stopRetryInterval < now)
@@ -407,6 +493,9 @@
     if (now - m_checkedAt >= executorCheckInterval)
         checkExecutors(now, confirmedAt);
     m_jobs.openDueOccurrences(now, unixOffset);
+    applyUndecidedReports(now);
+    if (!std::exchange(m_attemptsChecked, true))
+        failExhaustedJobs(now);
     if (placement == placement_mode::allowed)
         placeWaitingSteps(now);
 }
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -65,6 +65,16 @@
     void applyReport(const executor_id &id, const executor_report &report, boot_time askedAt,
                      boot_time now);
 
+    /**
+     * Sets the time at which the jobs were last read: all jobs that were stored before are known.
+     * Reported runs of unknown jobs are neither stopped, nor are their ends acknowledged, until the
+     * jobs have been read after the report. Without a call all jobs are known.
+     */
+    void setJobsReadAt(boot_time readAt) noexcept { m_jobsReadAt = readAt; }
+
+    /** Returns whether the executor has reported runs of jobs that may not have been read yet. */
+    [[nodiscard]] bool hasUndecidedRuns(const executor_entry &executor) const;
+
     /** Call when the executor did not answer. */
     void markUnresponsive(const executor_id &id);
 
@@ -139,9 +149,16 @@
         [[nodiscard]] bool mayHaveRoom(const resources &wanted) const;
     };
 
+    void failExhaustedJobs(boot_time now);
+    /** Returns whether the job is known, or known not to exist. */
+    [[nodiscard]] bool isDecided(executor_entry &executor, const job_id &id, boot_time now);
+    void applyRunsAndEnds(executor_entry &executor, const executor_report &report, boot_time now);
+    /** Applies reported runs of jobs that have been read since. */
+    void applyUndecidedReports(boot_time now);
     void beginIncarnation(executor_entry &executor, std::int64_t startedUnixMs, boot_time now);
     void applyReportedRun(executor_entry &executor, const reported_run &run, boot_time now);
     void adoptRun(executor_entry &executor, const reported_run &run, boot_time now);
+    /** Applies the ends up to the first one that can't be decided. */
     void applyReportedEnds(executor_entry &executor, const executor_report &report, boot_time now);
     void applyEnd(executor_entry &executor, const ended_run &end, boot_time now);
     void reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
@@ -187,6 +204,11 @@
     boot_time m_allPlacedAt{};
     /** Pools in which a waiting task may find room since the last placement. */
     std::set<std::string> m_changedPools{};
+    boot_time m_jobsReadAt{boot_time::max()};
+    /** Executors with unread jobs. */
+    std::set<executor_id> m_undecidedExecutors{};
+    /** All open jobs have been checked for tasks that have used up their attempts. */
+    bool m_attemptsChecked{true};
     job_table m_jobs{};
     executor_table m_executors;
     executor_orders m_orders{};
--- a/test/azurelb/scheduling/scheduler_fuzz_test.cpp
+++ b/test/azurelb/scheduling/scheduler_fuzz_test.cpp
@@ -20,6 +20,7 @@
     cancel,
     take_over,
     replace_owner,
+    replace_owner_with_old_configuration,
     crash,
     restart_unnoticed,
     disconnect,
@@ -101,6 +102,9 @@
         case action::replace_owner:
             m_simulation.replaceOwner();
             break;
+        case action::replace_owner_with_old_configuration:
+            m_simulation.replaceOwnerWithOldConfiguration(milliseconds{argument % 1500});
+            break;
         case action::crash:
             m_simulation.crash(executorName(argument));
             break;
--- a/test/azurelb/scheduling/scheduler_simulation.hpp
+++ b/test/azurelb/scheduling/scheduler_simulation.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +38,10 @@
     /** Another daemon becomes owner; the former one stops at once. */
     void replaceOwner();
 
+    /** Another daemon becomes owner, which reads the newest configuration only after the delay; all
+        jobs were accepted under that one. The former owner stops at once. */
+    void replaceOwnerWithOldConfiguration(std::chrono::milliseconds readsAfter);
+
     /** Makes the executor unreachable for the former owner. */
     void disconnectFormerOwner(const std::string &executor);
 
@@ -130,6 +135,7 @@
     std::unique_ptr<owner_model> m_owner{};
     std::unique_ptr<owner_model> m_formerOwner{};
     std::int64_t m_token{0};
+    std::optional<boot_time> m_readsConfigurationAt{};
     unsigned m_lostAnswers{0};
     unsigned m_delayedOrders{0};
     std::chrono::milliseconds m_delay{0};
