Entries of other writers: one odd entry ends no daemon and hides no other

Another operator's processes ended again and again, or stopped following the list, after another writer had left one odd entry among the executors. Deep nesting and large exponents were rejected before.

isWellFormed and isPeerAddress decide in one place each; a value that can't be read is taken for empty, which no decoder accepts. The count of waiting jobs is checked in the same way. The soak puts such entries under the three prefixes before its daemons start.

--- a/src/azurelb/control/executor_registration_codec.cpp
+++ b/src/azurelb/control/executor_registration_codec.cpp
@@ -1,12 +1,40 @@
 #include <azurelb/control/executor_registration_codec.hpp>
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/scheduling/executor_registration.hpp>
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <cstddef>
+
 namespace azurelb {
 
 namespace json = boost::json;
 
+namespace {
+
+/** Longest key of the store. */
+constexpr std::size_t maxNameBytes{200};
+
+/** Returns whether the text may stand in a header field without being changed or split. */
+bool isHeaderText(std::string_view text) noexcept
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char each) { return each > ' ' && each <= '~'; });
+}
+
+} // namespace
+
+bool isWellFormed(const executor_registration &info)
+{
+    const auto fits = [](const std::string &name) {
+        return name.size() <= maxNameBytes;
+    };
+    return !info.id.empty() && isHeaderText(info.id) && isPeerAddress(info.address) && fits(info.id)
+        && fits(info.pool) && fits(info.zone) && fits(info.vm)
+        && std::all_of(info.labels.begin(), info.labels.end(), fits);
+}
+
 std::string encodeRegistration(const executor_registration &info)
 {
     return json::serialize(json::object{{"id", info.id},
@@ -36,7 +64,7 @@
     info.vm = textOf("vm");
     const json::value *const born = in.if_contains("born");
     info.startedUnixMs = born && born->is_int64() ? born->get_int64() : 0;
-    if (info.id.empty() || info.address.empty())
+    if (!isWellFormed(info))
         return std::nullopt;
     return info;
 }
--- a/src/azurelb/http/endpoint.cpp
+++ b/src/azurelb/http/endpoint.cpp
@@ -27,6 +27,12 @@
     return boost::asio::ip::tcp::endpoint{address, number};
 }
 
+bool isPeerAddress(std::string_view text)
+{
+    const auto endpoint = parseEndpoint(text);
+    return endpoint && endpoint->port() != 0;
+}
+
 std::string toString(const boost::asio::ip::tcp::endpoint &endpoint)
 {
     std::ostringstream text;
--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -299,8 +299,12 @@
         co_return waiting_result{};
     }
     const boost::json::value *const count = counts.get_object().if_contains(queue);
+    if (count && !count->is_uint64() && !count->is_int64()) {
+        logEvent(event::stored_value_damaged, {{"key", store_keys::waiting}});
+        co_return waiting_result{};
+    }
     co_return waiting_result{intake_outcome::done,
-                             count ? count->to_number<std::size_t>() : std::size_t{0}};
+                             count ? count->to_number<std::size_t>(failure) : std::size_t{0}};
 }
 
 } // namespace azurelb
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -49,6 +50,7 @@
 
     void report(const report_request &request, report_handler done) override
     {
+        asked.insert(request.executor);
         if (silent || request.executor == silentExecutor) {
             boost::asio::post(m_loop, [done = std::move(done)] { done(executor_reply{}); });
             return;
@@ -82,6 +84,8 @@
     void disconnect(const executor_id &) override { }
 
     std::vector<queued_start> queue{};
+    /** Executors from which a report was requested. */
+    std::set<executor_id> asked{};
     std::int64_t startedUnixMs{1};
     /** Executors do not answer. */
     bool silent{false};
@@ -166,6 +170,7 @@
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
     CPPUNIT_TEST(onlyOneOwnerInARowYields);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
+    CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -532,6 +537,22 @@
         CPPUNIT_ASSERT_EQUAL(0, m_yields);
     }
 
+    /** A client for an address that is none can't be made: each owner would end as soon as it has
+        read the record. */
+    void recordWithoutAnAddressNamesNoExecutor()
+    {
+        for (const char *const address : {"10.0.0.7:99999", "10.0.0.7", "10.0.0.7:0"}) {
+            executor_registration info;
+            info.id = "odd";
+            info.address = address;
+            m_store.put(store_keys::executor(info.id + address), encodeRegistration(info));
+        }
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_gateway.asked == std::set<executor_id>{executorName});
+    }
+
 private:
     static job_record makeJob(const std::string &id)
     {
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -56,6 +56,7 @@
               }}
 {
     addExecutors();
+    putOddEntries();
     writeConfiguration();
     std::vector<soak_caller::endpoint> daemonAddresses;
     for (std::size_t index = 0; index < m_options.daemons; ++index) {
@@ -93,6 +94,20 @@
     }
 }
 
+/** Entries of other writers, which name no executor and no daemon. */
+void soak_scenario::putOddEntries()
+{
+    constexpr std::size_t greatDepth{10'000};
+    const std::string nested = std::string(greatDepth, '[') + std::string(greatDepth, ']');
+    const std::string sound = m_store.state().find("servers/i-0")->value;
+    const json::object odd{{"id", "odd"}, {"address", "127.0.0.1:99999"}, {"pool", "pool"}};
+    m_store.state().put("servers/odd-nested", nested);
+    m_store.state().put("servers/odd-bytes", "\xff\xfe");
+    m_store.state().put("servers/odd id", sound);
+    m_store.state().put("azurelb/executor/odd", json::serialize(odd));
+    m_store.state().put("azurelb/node/odd", "127.0.0.1:99999");
+}
+
 void soak_scenario::writeConfiguration()
 {
     const json::object queue{
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -60,6 +60,7 @@
     };
 
     void addExecutors();
+    void putOddEntries();
     void writeConfiguration();
     void runFor(std::chrono::milliseconds time, bool withFaults);
     void injectRandomFault();
