Orders: a lease does not vouch for itself once the store has answered

Cause: an input that is too old stays usable while its reads fail, unless the lease was renewed later. For the lease this compared it with itself, so that a lease whose renewals failed was usable for 6 s, also after the store had answered other calls.

Ruled out: an executor that accepted a lower token; none had seen the higher.

Each input records when the store last answered it, before the answer is acted on; an older input is usable only if no answer has arrived since it became too old.

--- a/src/azurelb/control/leader_election.cpp
+++ b/src/azurelb/control/leader_election.cpp
@@ -157,7 +157,7 @@
 {
     m_token = token;
     m_keyFree = false;
-    m_leaseState = {m_grantSentAt, std::nullopt};
+    m_leaseState = {m_grantSentAt, std::nullopt, boot_clock::now()};
     logEvent(event::owner_elected, {{"token", token}});
     scheduleRenewal();
     m_onElected(token);
@@ -188,7 +188,7 @@
         return;
     }
     if (outcome.error == keyspace_error::none)
-        m_leaseState = {sentAt, std::nullopt};
+        m_leaseState = {sentAt, std::nullopt, boot_clock::now()};
     else
         m_leaseState.failedAt = sentAt;
     scheduleRenewal();
--- a/src/azurelb/control/order_gate.cpp
+++ b/src/azurelb/control/order_gate.cpp
@@ -89,10 +89,20 @@
     if (now - state.confirmedAt <= maxAge)
         return true;
     const bool storeMayBeDown = state.failedAt && *state.failedAt >= m_resumedAt
-        && stateOf(order_input::lease).confirmedAt - state.confirmedAt <= maxAge;
+        && storeAnsweredAt() - state.confirmedAt <= maxAge;
     return storeMayBeDown;
 }
 
+boot_time order_gate::storeAnsweredAt() const
+{
+    boot_time latest{};
+    for (const order_input each : allOrderInputs) {
+        const read_state state = stateOf(each);
+        latest = std::max({latest, state.confirmedAt, state.answeredAt});
+    }
+    return latest;
+}
+
 std::optional<order_input> order_gate::findOutdatedInput(order_kind kind, boot_time now)
 {
     recordActivity(now);
--- a/src/azurelb/control/order_gate.hpp
+++ b/src/azurelb/control/order_gate.hpp
@@ -52,9 +52,10 @@
  * up in between: by a suspended VM, by lack of processor time or by a connection that is not free.
  *
  * An input that is too old is still used while reads of the store fail, as nothing can be changed
- * in a store that is down. If the owner's lease was renewed after the input, the store works and
- * the input must be recent. The same holds after the event loop was held up: only reads that were
- * sent afterwards show whether the store works.
+ * in a store that is down. Any answer of the store that arrives later shows that it works, so that
+ * the input must be recent; for the lease, another daemon may be the owner by then. The same holds
+ * after the event loop was held up: only reads that were sent afterwards show whether the store
+ * works.
  */
 class order_gate
 {
@@ -110,6 +111,8 @@
 private:
     [[nodiscard]] read_state stateOf(order_input input) const;
     [[nodiscard]] bool isUsable(order_input input, boot_time now) const;
+    /** Returns when the store last answered. */
+    [[nodiscard]] boot_time storeAnsweredAt() const;
 
     options m_options;
     sources m_sources;
--- a/src/azurelb/keyspace/prefix_watcher.cpp
+++ b/src/azurelb/keyspace/prefix_watcher.cpp
@@ -62,6 +62,7 @@
         retry(page.error, &prefix_watcher::readAll);
         return;
     }
+    m_state.answeredAt = boot_clock::now();
     // Pages do not form a snapshot, so the watch starts at the revision of the first page.
     if (m_firstPageRevision == 0)
         m_firstPageRevision = page.revision;
@@ -94,7 +95,7 @@
     m_listedKeys.clear();
     m_watchedRevision = m_firstPageRevision;
     // Changes made while later pages were read are only known once the watch has reported them.
-    m_state = {m_readBegunAt, std::nullopt};
+    m_state = {m_readBegunAt, std::nullopt, m_state.answeredAt};
     m_failures = 0;
     const bool first = !std::exchange(m_synced, true);
     if (first && m_onSynced)
@@ -124,6 +125,7 @@
         retry(changes.error, &prefix_watcher::watch);
         return;
     }
+    m_state.answeredAt = boot_clock::now();
     if (std::exchange(m_failures, 0) > 1)
         logEvent(event::follower_restored, {{"prefix", m_prefix}});
     const std::weak_ptr<bool> alive{m_alive};
@@ -133,7 +135,7 @@
             return;
     }
     m_watchedRevision = std::max(m_watchedRevision, changes.revision);
-    m_state = {m_requestSentAt, std::nullopt};
+    m_state = {m_requestSentAt, std::nullopt, m_state.answeredAt};
     watch();
 }
 
--- a/src/azurelb/keyspace/read_state.hpp
+++ b/src/azurelb/keyspace/read_state.hpp
@@ -13,6 +13,8 @@
     boot_time confirmedAt{};
     /** Send time of the latest call, if that call failed. */
     std::optional<boot_time> failedAt{};
+    /** Arrival time of the latest answer of the store, which worked up to then. */
+    boot_time answeredAt{};
 };
 
 } // namespace azurelb
--- a/test/azurelb/control/order_gate_test.cpp
+++ b/test/azurelb/control/order_gate_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(silentWatchHoldsStarts);
     CPPUNIT_TEST(outageOfTheStoreDoesNotHoldStarts);
     CPPUNIT_TEST(failingWatchHoldsStartsWhileTheLeaseIsRenewed);
+    CPPUNIT_TEST(unconfirmedLeaseHoldsStartsOnceTheStoreAnswers);
+    CPPUNIT_TEST(heldUpAnswerEndsAnUnconfirmedLease);
     CPPUNIT_TEST(pauseHoldsStartsUntilTheInputsAreReadAgain);
     CPPUNIT_TEST(pauseDuringAnOutageHoldsStartsUntilAReadFailed);
     CPPUNIT_TEST(noOrderAfterTheLimitSinceTheLastRenewal);
@@ -93,6 +95,34 @@
         CPPUNIT_ASSERT(m_gate.findOutdatedInput(order_kind::start, m_now) == order_input::jobs);
     }
 
+    /** The owner's zone was cut off, and another daemon has become owner. When the cut ends, the
+        former one reads the jobs of its successor before it learns that it has lost the key: if it
+        starts them, they run twice. */
+    void unconfirmedLeaseHoldsStartsOnceTheStoreAnswers()
+    {
+        m_storeDown = true;
+        run(milliseconds{4800});
+        CPPUNIT_ASSERT(m_gate.permits(order_kind::start, m_now));
+        m_jobs = {m_now, std::nullopt};
+        CPPUNIT_ASSERT(m_gate.findOutdatedInput(order_kind::start, m_now) == order_input::lease);
+        CPPUNIT_ASSERT(m_gate.permits(order_kind::renewal, m_now));
+        CPPUNIT_ASSERT(m_gate.permits(order_kind::stop, m_now));
+        m_storeDown = false;
+        run(milliseconds{50});
+        CPPUNIT_ASSERT(m_gate.permits(order_kind::start, m_now));
+    }
+
+    /** The request was sent while the lease was confirmed, and the cut has held up its answer. */
+    void heldUpAnswerEndsAnUnconfirmedLease()
+    {
+        const boot_time sentAt = m_now + milliseconds{600};
+        m_storeDown = true;
+        run(milliseconds{2000});
+        CPPUNIT_ASSERT(m_gate.permits(order_kind::start, m_now));
+        m_jobs = {sentAt, std::nullopt, m_now};
+        CPPUNIT_ASSERT(m_gate.findOutdatedInput(order_kind::start, m_now) == order_input::lease);
+    }
+
     void pauseHoldsStartsUntilTheInputsAreReadAgain()
     {
         run(milliseconds{800});
