--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -211,9 +211,13 @@
         lease ? std::optional{milliseconds{*lease}} : std::optional<milliseconds>{};
     const boot_time latest =
         boot_clock::now() + milliseconds{platform::integerOf(*in, "WaitMs").value_or(0)};
+    const std::int64_t incarnation = m_model.info().startedUnixMs;
     while (true) {
         const boot_time now = boot_clock::now();
         advance(now);
+        // A request ends with the incarnation that has received it.
+        if (m_model.info().startedUnixMs != incarnation)
+            co_return reply(http::status::service_unavailable, {}, m_model.clock(now));
         const auto found = m_model.hold(token, seen, leaseEnd, now);
         auditAcknowledged();
         if (!found)
