Scheduler: a list of ends that may go on is not taken for complete

Cause: an executor lists 500 ends at a time. A run whose end lay beyond was listed neither as running nor as ended, and was taken for lost.

Evidence: the first repeated start follows once an executor has more than 500 unacknowledged ends. Ruled out: lost answers; each report was answered.

A report says whether its list is complete. Nothing is concluded from a run that is missing before all ends are known; a new owner waits for such a report of each executor. While ends can't be stored, an executor gets no new run if the ends of its runs could exceed the list.

--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -90,6 +90,8 @@
     bool inherited{false};
     /** The executor has answered this owner and therefore rejects orders of earlier ones. */
     bool contacted{false};
+    /** A report has listed all of its runs and unacknowledged ends, and these have been applied. */
+    bool fullyReported{false};
     /** Start time of the incarnation before this one; 0 if this owner knew none. */
     std::int64_t formerStartedUnixMs{0};
     /** Leases meant for the clock of a former incarnation may have reached this one, whose clock
--- a/src/azurelb/scheduling/executor_report.hpp
+++ b/src/azurelb/scheduling/executor_report.hpp
@@ -40,7 +40,10 @@
     std::chrono::milliseconds clock{0};
     std::int64_t startedUnixMs{0};
     std::vector<reported_run> running{};
+    /** Ended runs that have not been acknowledged, in the order of their sequence numbers. */
     std::vector<ended_run> ended{};
+    /** Whether ended holds all of them: an executor lists a limited number at a time. */
+    bool endsComplete{true};
 };
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -26,7 +26,7 @@
 
 bool mayHaveUnknownRuns(const executor_entry &executor, boot_time now) noexcept
 {
-    return executor.inherited && !executor.contacted && now < executor.latestLeaseEnd;
+    return executor.inherited && !executor.fullyReported && now < executor.latestLeaseEnd;
 }
 
 executor_table::executor_table(const scheduling_options &options)
@@ -94,6 +94,7 @@
     // Once this owner has contacted an executor, it accepts no orders of earlier ones.
     executor.inherited = executor.inherited && !executor.contacted;
     executor.contacted = false;
+    executor.fullyReported = false;
     executor.unresponsive = false;
     executor.clock = milliseconds{0};
     executor.clockReadAt = {};
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -14,7 +14,8 @@
 
 namespace azurelb {
 
-/** Returns whether an earlier owner may have runs on the executor that it has not reported yet. */
+/** Returns whether an earlier owner may have runs, or ends of runs, on the executor that it has not
+    reported yet. */
 [[nodiscard]] bool mayHaveUnknownRuns(const executor_entry &executor, boot_time now) noexcept;
 
 /** Tracks executors, the runs assigned to them and the leases that bound these runs. */
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -44,6 +44,18 @@
         && now >= executor.suspendedUntil && !m_evacuatedZones.contains(executor.info.zone);
 }
 
+/** While ends can't be stored, they stay on the executor's list. Nobody would learn of an end that
+   it can't list. */
+resources scheduler::roomOn(const executor_entry &executor) const noexcept
+{
+    constexpr resources none{-1, -1, -1};
+    const auto unstored =
+        static_cast<std::size_t>(executor.lastProcessedEnd - executor.lastStoredEnd);
+    const bool listIsFull =
+        unstored != 0 && unstored + executor.assignments.size() >= m_options.maxListedEnds;
+    return listIsFull ? none : executor.free();
+}
+
 bool scheduler::pool_candidates::mayHaveRoom(const resources &wanted) const
 {
     return std::none_of(rejected.begin(), rejected.end(),
@@ -88,7 +100,7 @@
         found.hasUnknownRuns = found.hasUnknownRuns || mayHaveUnknownRuns(*each, now);
         if (!isUsable(*each, now))
             continue;
-        const resources free = each->free();
+        const resources free = roomOn(*each);
         found.executors.push_back({each, free});
         found.largestFree = {std::max(found.largestFree.cpu, free.cpu),
                              std::max(found.largestFree.memory, free.memory),
@@ -169,7 +181,7 @@
         }
         m_orders.resize(before);
         for (candidate *const each : used)
-            each->free = each->executor->free();
+            each->free = roomOn(*each->executor);
         return;
     }
 }
@@ -178,7 +190,7 @@
                         run_number run, boot_time now)
 {
     startRun(step, index, *chosen.executor, run, now);
-    chosen.free = chosen.executor->free();
+    chosen.free = roomOn(*chosen.executor);
 }
 
 /**
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -234,7 +234,14 @@
     if (!wasUsable || !report.ended.empty())
         m_changedPools.insert(executor->info.pool);
     applyRunsAndEnds(*executor, report, now);
-    reconcileUnlistedRuns(*executor, report, askedAt, now);
+    // The end of a run that is not listed may be among those that are not listed or not applied
+    // yet.
+    const bool endsKnown = report.endsComplete
+        && std::none_of(report.ended.begin(), report.ended.end(), [executor](const auto &each) {
+                               return each.sequence > executor->lastProcessedEnd;
+                           });
+    executor->fullyReported = executor->fullyReported || endsKnown;
+    reconcileUnlistedRuns(*executor, report, {askedAt, endsKnown}, now);
     throttleBackfill(*executor, now);
 }
 
@@ -410,13 +417,8 @@
 }
 
 void scheduler::reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
-                                      boot_time askedAt, boot_time now)
+                                      const report_proof &proof, boot_time now)
 {
-    // The end of a run that is not listed may be among those that could not be applied yet.
-    const bool endsApplied =
-        std::none_of(report.ended.begin(), report.ended.end(), [&executor](const ended_run &each) {
-            return each.sequence > executor.lastProcessedEnd;
-        });
     std::vector<task_id> ended;
     for (auto &[task, held] : executor.assignments) {
         const auto isListed = [&task = task, &held = held](const reported_run &each) {
@@ -425,7 +427,7 @@
         const bool listed = std::any_of(report.running.begin(), report.running.end(), isListed);
         const bool settled = held.phase == assignment_phase::running
             || (held.phase == assignment_phase::stopping && held.stopConfirmed);
-        if (settled && !listed && held.confirmedAt < askedAt && endsApplied)
+        if (settled && !listed && proof.endsKnown && held.confirmedAt < proof.askedAt)
             ended.push_back(task);
         else if (held.phase == assignment_phase::stopping && !held.stopConfirmed
                  && held.stopSentAt + stopRetryInterval < now)
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -120,6 +120,15 @@
     [[nodiscard]] const executor_table &executors() const noexcept { return m_executors; }
 
 private:
+    /** What a report proves of runs that it does not list. */
+    struct report_proof
+    {
+        /** When the report was requested: runs confirmed later need not be listed. */
+        boot_time askedAt{};
+        /** All unacknowledged ends were listed and have been applied. */
+        bool endsKnown{false};
+    };
+
     /** A step with tasks that wait for an executor. */
     struct waiting_step
     {
@@ -162,7 +171,7 @@
     void applyReportedEnds(executor_entry &executor, const executor_report &report, boot_time now);
     void applyEnd(executor_entry &executor, const ended_run &end, boot_time now);
     void reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
-                               boot_time askedAt, boot_time now);
+                               const report_proof &proof, boot_time now);
     void throttleBackfill(executor_entry &executor, boot_time now);
     /** Counts failures that point to a faulty executor, and suspends it if there are too many. */
     void updateFailureCount(executor_entry &executor, const ended_run &end, boot_time now);
@@ -185,6 +194,9 @@
     [[nodiscard]] std::vector<waiting_step>
     waitingSteps(const std::string &name, const pool_candidates &pool, boot_time now) const;
     [[nodiscard]] bool isUsable(const executor_entry &executor, boot_time now) const;
+    /** Returns the resources that a new run may use; nothing fits if the ends of its runs could be
+        more than it lists at a time. */
+    [[nodiscard]] resources roomOn(const executor_entry &executor) const noexcept;
     [[nodiscard]] pool_candidates candidatesOf(const std::string &pool, boot_time now) const;
     void placeWaitingSteps(boot_time now);
     void placeStep(const waiting_step &step, pool_candidates &pool, boot_time now);
--- a/src/azurelb/scheduling/scheduling_options.hpp
+++ b/src/azurelb/scheduling/scheduling_options.hpp
@@ -3,6 +3,7 @@
 #include <azurelb/scheduling/queue_order.hpp>
 
 #include <chrono>
+#include <cstddef>
 
 namespace azurelb {
 
@@ -32,6 +33,8 @@
     /** Consecutive failures after which an executor is suspended. A single failure may be the
         task's own: callers' programs fail in up to 3 % of runs. */
     unsigned suspendAfterFailures{2};
+    /** Number of ended runs that an executor lists at a time. */
+    std::size_t maxListedEnds{500};
     queue_order order{queue_order::newest_first};
 };
 
--- a/test/azurelb/scheduling/scheduler_fuzz_test.cpp
+++ b/test/azurelb/scheduling/scheduler_fuzz_test.cpp
@@ -177,7 +177,15 @@
         ++m_jobs;
     }
 
-    scheduler_simulation m_simulation{};
+    /** Lists of ends are short, so that outages of the store fill them. */
+    [[nodiscard]] static scheduling_options optionsOfSimulation()
+    {
+        scheduling_options options;
+        options.maxListedEnds = 6;
+        return options;
+    }
+
+    scheduler_simulation m_simulation{optionsOfSimulation()};
     unsigned m_jobs{0};
     std::vector<job_id> m_longRunningJobs{};
 };
--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -77,6 +77,7 @@
     info.capacity = executorCapacity;
     info.startedUnixMs = 1;
     m_executors[id] = std::make_unique<fake_executor>(info, clockRate, m_now);
+    m_executors[id]->listedEnds = m_options.maxListedEnds;
     m_owner->scheduling.registerExecutor(info, m_now);
 }
 
--- a/test/support/fake_executor.cpp
+++ b/test/support/fake_executor.cpp
@@ -77,7 +77,10 @@
     executor_report report;
     report.clock = clock(now);
     report.startedUnixMs = m_info.startedUnixMs;
-    report.ended = m_ended;
+    report.ended.assign(m_ended.begin(),
+                        m_ended.begin()
+                            + static_cast<std::ptrdiff_t>(std::min(m_ended.size(), listedEnds)));
+    report.endsComplete = report.ended.size() < listedEnds;
     for (const auto &[task, run] : m_running) {
         const auto share =
             (now - run.startedAt) * 99 / std::max(run.plan.duration, milliseconds{1});
--- a/test/support/fake_executor.hpp
+++ b/test/support/fake_executor.hpp
@@ -7,6 +7,7 @@
 #include <azurelb/scheduling/start_outcome.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -49,6 +50,9 @@
     /** Simulates a crash: drops all state and restarts under the same identifier. */
     void crash(boot_time now);
 
+    /** Number of ended runs in one report. */
+    std::size_t listedEnds{500};
+
     [[nodiscard]] const executor_registration &info() const noexcept { return m_info; }
     [[nodiscard]] const std::map<task_id, active_run> &running() const noexcept
     {
