Jobs: the time of the end is stored, and retention counts from it

Cause: a new owner took the time of acceptance for the time of the end, so a job that took over 150 s was removed within 5 s of its takeover.

Evidence: the keys are removed by the new owner's first check, never by an owner that saw the end. Ruled out: the intake; the keys were missing.

ended_ms is stored with the final state. A state without it, from an earlier version, counts from when the owner loaded it.

Before: endedJobsAreKeptFromTheirEndOn and endedJobsOfEarlierVersionsAreKeptFromTheirLoadingOn fail.

--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -282,8 +282,10 @@
     const boot_time now = boot_clock::now();
     const boot_time acceptedAt = std::min(now, now - (unixNow() - record.acceptedAt));
     const auto found = m_storedProgress.find(record.id);
-    const stored_progress known =
-        found == m_storedProgress.end() ? stored_progress{} : found->second;
+    stored_progress known = found == m_storedProgress.end() ? stored_progress{} : found->second;
+    // Earlier versions did not store when a job ended; its retention begins now.
+    if (isFinal(known.progress.state) && known.progress.endedAt.count() == 0)
+        known.progress.endedAt = unixNow();
     const bool isNew = !m_scheduler.jobs().find(record.id);
     m_scheduler.addJob(record, known.progress, known.revision, !m_jobsLoaded, acceptedAt);
     if (found != m_storedProgress.end())
--- a/src/azurelb/jobs/job_codec.cpp
+++ b/src/azurelb/jobs/job_codec.cpp
@@ -132,6 +132,7 @@
                                            [&](job_state each) { return toString(each) == state; });
     job_progress progress;
     progress.state = found == allStates.end() ? job_state::pending : *found;
+    progress.endedAt = std::chrono::milliseconds{numberOr(in, "ended_ms", 0)};
     if (const json::value *const completed = in.if_contains("completed_occurrences"))
         progress.completedOccurrences = json::value_to<std::vector<std::uint32_t>>(*completed);
     if (const json::value *const tasks = in.if_contains("tasks")) {
@@ -185,6 +186,8 @@
 std::string encode(const job_progress &progress)
 {
     json::object out{{"state", toString(progress.state)}};
+    if (progress.endedAt.count() != 0)
+        out["ended_ms"] = progress.endedAt.count();
     if (!progress.completedOccurrences.empty())
         out["completed_occurrences"] = json::value_from(progress.completedOccurrences);
     json::array tasks;
--- a/src/azurelb/jobs/job_progress.hpp
+++ b/src/azurelb/jobs/job_progress.hpp
@@ -3,6 +3,7 @@
 #include <azurelb/jobs/fwd.hpp>
 #include <azurelb/jobs/job_state.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,13 +26,15 @@
     std::string checkpoint{};
 };
 
-/** Stored progress of a job. Only the state is kept once it is final. */
+/** Stored progress of a job. Only the state and the time of the end are kept once it is final. */
 struct job_progress
 {
     job_state state{job_state::pending};
     /** Occurrences whose tasks are all done; these tasks are not listed. */
     std::vector<std::uint32_t> completedOccurrences{};
     std::vector<task_progress> tasks{};
+    /** When the job ended, in Unix time; 0 if it has not, or if an earlier version stored it. */
+    std::chrono::milliseconds endedAt{0};
 };
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -47,7 +47,7 @@
     job.shortWorkCoreMs = shortWorkCoreMs(job.record.steps);
     job.state = stored.state;
     if (isFinal(stored.state)) {
-        job.endedAt = acceptedAt;
+        job.endedAt = acceptedAt + (stored.endedAt - job.record.acceptedAt);
         return true;
     }
     addOpen(job);
@@ -413,8 +413,10 @@
 {
     job_progress progress;
     progress.state = job.state;
-    if (isFinal(job.state))
+    if (isFinal(job.state)) {
+        progress.endedAt = job.record.acceptedAt + (job.endedAt - job.acceptedAt);
         return progress;
+    }
     progress.completedOccurrences = job.completedOccurrences;
     for (const occurrence_entry &occurrence : job.occurrences) {
         if (occurrence.stepsDone == occurrence.steps.size())
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -160,6 +160,10 @@
     CPPUNIT_TEST(jobsReadBeforeTheirProgressAreNotRunAgain);
     CPPUNIT_TEST(endsOfJobsUnderAnUnreadConfigurationCount);
     CPPUNIT_TEST(endsOfUnreadJobsAreNotAcknowledged);
+    CPPUNIT_TEST(endedJobsAreKeptFromTheirEndOn);
+    CPPUNIT_TEST(endedJobsOfEarlierVersionsAreKeptFromTheirLoadingOn);
+    CPPUNIT_TEST(endedJobsAreRemovedAfterTheirRetention);
+    CPPUNIT_TEST(endIsStoredWithTheJob);
     CPPUNIT_TEST(inheritedJobsDoNotWaitForAnExecutorThatWasReplaced);
     CPPUNIT_TEST(inheritedJobsWaitForAnExecutorThatTheListMayNotShowYet);
     CPPUNIT_TEST(startsNothingWhileTheWatchOfJobsIsSilent);
@@ -439,6 +443,44 @@
         CPPUNIT_ASSERT(stored && stored->state == job_state::completed);
     }
 
+    /** A job that took longer than its retention was removed by the next owner, seconds after it
+       had completed: its caller was told that it doesn't exist. */
+    void endedJobsAreKeptFromTheirEndOn()
+    {
+        putEndedJob(unixNow() - milliseconds{5000});
+        startOwner();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobRecord(firstJob)) != nullptr);
+    }
+
+    void endedJobsOfEarlierVersionsAreKeptFromTheirLoadingOn()
+    {
+        putEndedJob(milliseconds{0});
+        startOwner();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobRecord(firstJob)) != nullptr);
+    }
+
+    void endedJobsAreRemovedAfterTheirRetention()
+    {
+        putEndedJob(unixNow() - milliseconds{160'000});
+        startOwner();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobRecord(firstJob)) == nullptr);
+    }
+
+    void endIsStoredWithTheJob()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        const auto stored = decodeProgress(m_store.find(store_keys::jobProgress(firstJob))->value);
+        CPPUNIT_ASSERT(stored && stored->state == job_state::completed);
+        const milliseconds age = unixNow() - stored->endedAt;
+        CPPUNIT_ASSERT(age >= milliseconds{0} && age < milliseconds{1000});
+    }
+
     /** The VM of a recorded executor was moved right before the takeover. Nobody holds the lease of
         its runs any more, so the jobs of its pool need not wait for it. */
     void inheritedJobsDoNotWaitForAnExecutorThatWasReplaced()
@@ -567,6 +609,18 @@
         return job;
     }
 
+    /** Stores a job that was accepted 500 s ago and completed at the given Unix time. */
+    void putEndedJob(milliseconds endedAt)
+    {
+        job_record job = makeJob(firstJob);
+        job.acceptedAt = unixNow() - milliseconds{500'000};
+        m_store.put(store_keys::jobRecord(firstJob), encode(job));
+        job_progress progress;
+        progress.state = job_state::completed;
+        progress.endedAt = endedAt;
+        m_store.put(store_keys::jobProgress(firstJob), encode(progress));
+    }
+
     /** Stores the completed jobs of a burst of four seconds that began the given time ago. */
     void putFinishedBurst(const std::string &pool, milliseconds ago)
     {
