Waves: a VM's maintenance is done once it is confirmed, not once it has a new executor

Cause: a new executor on the VM was taken for proof that an unanswered order had been carried out; a crash gives a new executor too.

Evidence: line 942 of the VM is followed by its settlement without a second 941. Ruled out: an order carried out late; the platform had begun none.

An order counts once the platform has confirmed it, or once its list has shown the VM in maintenance. Otherwise it is repeated. A repeated order may be confirmed without any effect, so it ends no executor before the list shows that.

Before: three new cases of owner_test fail.

--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -90,6 +90,8 @@
     for (const wave_entry &each : desired.waves) {
         if (!m_waves.try_emplace(each.number, each).second)
             continue;
+        if (m_startedAt == boot_time{})
+            m_inheritedWaves.insert(each.number);
         m_unreported.insert(each.number);
         shareDeadline(each.number);
     }
@@ -220,7 +222,10 @@
     const auto found = m_orders.find(vm.vm);
     if (found == m_orders.end())
         return;
-    const pending_order &order = found->second;
+    pending_order &order = found->second;
+    // The VM was up when the order was given, so the list shows its effect.
+    order.answered = order.answered || (order.wave != 0 && vm.state == vm_state::maintenance);
+    endMaintainedExecutor(vm, order);
     const bool changed = vm.executor != order.executor && vm.state == vm_state::up;
     const milliseconds usual =
         order.wave == 0 ? m_options.moveTime : m_options.waves.maintenanceTime;
@@ -233,8 +238,11 @@
     if (order.wave != 0) {
         wave_progress &progress = m_progress[order.wave];
         progress.inMaintenance.erase(vm.vm);
-        if (changed || order.answered)
+        // A new executor alone proves nothing: the former one may have crashed.
+        if (order.answered)
             progress.finished.insert(vm.vm);
+        else
+            m_unanswered.insert(vm.vm);
         m_unreported.insert(order.wave);
     }
     if (!changed)
@@ -242,6 +250,13 @@
     m_orders.erase(found);
 }
 
+void vm_manager::endMaintainedExecutor(const vm_entry &vm, const pending_order &order)
+{
+    const bool hasEnded = vm.state != vm_state::up || vm.executor != order.executor;
+    if (order.wave != 0 && order.answered && hasEnded)
+        m_scheduler.endExecutor(order.executor, boot_clock::now());
+}
+
 const vm_entry *vm_manager::find(const std::string &vm) const
 {
     const auto found = std::lower_bound(
@@ -468,7 +483,8 @@
     if (!entry || m_orders.contains(vm))
         return;
     reserve(vm, true);
-    m_orders[vm] = {entry->pool, entry->executor, boot_clock::now(), false, wave};
+    const bool mayBeRepeated = m_inheritedWaves.contains(wave) || m_unanswered.contains(vm);
+    m_orders[vm] = {entry->pool, entry->executor, boot_clock::now(), false, wave, mayBeRepeated};
     m_progress[wave].inMaintenance.insert(vm);
     logEvent(event::vm_maintenance_ordered, {{"target", vm}, {"wave", wave}});
     m_service.maintain(vm, wave,
@@ -484,7 +500,7 @@
     if (!entry || m_orders.contains(vm))
         return;
     reserve(vm, true);
-    m_orders[vm] = {pool, entry->executor, boot_clock::now(), false, 0};
+    m_orders[vm] = {pool, entry->executor, boot_clock::now(), false, 0, false};
     logEvent(event::vm_move_ordered, {{"target", vm}, {"from", entry->pool}, {"pool", pool}});
     m_service.move(vm, pool,
                    [this, vm, alive = std::weak_ptr<bool>{m_alive}](vm_order_outcome outcome) {
@@ -503,7 +519,8 @@
         order.answered = true;
         if (order.wave != 0)
             m_progress[order.wave].finished.insert(vm);
-        m_scheduler.endExecutor(order.executor, boot_clock::now());
+        if (!order.mayBeRepeated)
+            m_scheduler.endExecutor(order.executor, boot_clock::now());
         return;
     }
     logEvent(event::vm_order_failed, {{"target", vm}, {"wave", order.wave}});
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -87,9 +87,13 @@
         std::string pool{};
         executor_id executor{};
         boot_time orderedAt{};
+        /** The platform has confirmed the order. */
         bool answered{false};
         /** 0 for a move. */
         std::int64_t wave{0};
+        /** An earlier order may have been carried out already. The platform then confirms this one
+            although it ends no executor. */
+        bool mayBeRepeated{false};
     };
 
     /** Work that the predictor does not have yet. */
@@ -106,6 +110,8 @@
     void readList();
     void handleList(vm_listing &&listing);
     void settle(const vm_entry &vm);
+    /** Ends the executor of a VM whose maintenance has begun, once the list shows that. */
+    void endMaintainedExecutor(const vm_entry &vm, const pending_order &order);
     void endReplacedExecutors(boot_time now);
     [[nodiscard]] bool isOlderThanList(const executor_entry &executor) const;
     void plan();
@@ -144,6 +150,10 @@
     std::unordered_map<std::string, pending_order> m_orders{};
     std::map<std::int64_t, wave_entry> m_waves{};
     std::map<std::int64_t, wave_progress> m_progress{};
+    /** Waves that an earlier owner may have begun. */
+    std::set<std::int64_t> m_inheritedWaves{};
+    /** VMs whose maintenance was ordered without an answer. */
+    std::set<std::string> m_unanswered{};
     /** Waves whose progress has yet to be reported. */
     std::set<std::int64_t> m_unreported{};
     std::vector<pool_entry> m_pools{};
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -111,9 +111,11 @@
         ++movesTo[pool];
         ++movesOf[vm];
     }
-    void maintain(const std::string &vm, std::int64_t, order_handler) override
+    void maintain(const std::string &vm, std::int64_t, order_handler done) override
     {
         maintained.push_back(vm);
+        if (answersMaintenance)
+            done(vm_order_outcome::done);
     }
 
     /** Not listed while it is empty. */
@@ -121,6 +123,7 @@
     std::map<std::string, unsigned> movesTo{};
     std::map<std::string, unsigned> movesOf{};
     std::vector<std::string> maintained{};
+    bool answersMaintenance{false};
 };
 
 class fake_directory final : public executor_directory
@@ -156,6 +159,9 @@
     CPPUNIT_TEST(expectsTheNextBurstAfterATakeover);
     CPPUNIT_TEST(orderIsNotGivenUpByAListThatMayBeOlder);
     CPPUNIT_TEST(deadlineOfAWaveSurvivesATakeover);
+    CPPUNIT_TEST(newExecutorIsNoProofOfMaintenance);
+    CPPUNIT_TEST(maintenanceInTheListIsProofOfIt);
+    CPPUNIT_TEST(repeatedMaintenanceOrderEndsNoExecutor);
     CPPUNIT_TEST(firstPlanOfAWaveKnowsItsSequentialInterruptions);
     CPPUNIT_TEST(jobsReadBeforeTheirProgressAreNotRunAgain);
     CPPUNIT_TEST(endsOfJobsUnderAnUnreadConfigurationCount);
@@ -351,6 +357,48 @@
         CPPUNIT_ASSERT(m_waveDeadline - boot_clock::now() < milliseconds{2500});
     }
 
+    /** The order for a VM's maintenance gets no answer and is lost, and the VM's executor crashes.
+       If its successor counts as proof, the wave is shown as completed without that maintenance. */
+    void newExecutorIsNoProofOfMaintenance()
+    {
+        startWave();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+        m_vms.vms.front().executor = "next";
+        run(milliseconds{6500});
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, m_store.find(waveStateKey)->value);
+        m_vms.answersMaintenance = true;
+        registerExecutor("next", "vm0");
+        run(milliseconds{1500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_vms.maintained.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+    }
+
+    /** The answer is lost, and the list shows that the order was carried out. */
+    void maintenanceInTheListIsProofOfIt()
+    {
+        startWave();
+        m_vms.vms.front().state = vm_state::maintenance;
+        run(milliseconds{1000});
+        m_vms.vms.front().state = vm_state::up;
+        m_vms.vms.front().executor = "next";
+        run(milliseconds{1500});
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+    }
+
+    /** An earlier owner may have ordered the maintenance, which the platform then confirms again
+        without any effect: the executor lives on. */
+    void repeatedMaintenanceOrderEndsNoExecutor()
+    {
+        m_vms.answersMaintenance = true;
+        startWave();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+        m_store.put(store_keys::jobRecord(secondJob), encode(makeJob(secondJob)));
+        run(milliseconds{6500});
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+    }
+
     /** Two long-running tasks of which one may be unavailable are on two VMs of the wave, and a
        third VM is empty. If the first plan doesn't know that, empty VMs take all of the wave's
        parallel maintenance, and the sequential interruptions begin seconds later. */
@@ -703,10 +751,29 @@
         run(milliseconds{300});
     }
 
-    void registerExecutor()
+    /** Starts an owner whose only VM is due for maintenance in a wave, and gives it time to order
+        that. */
+    void startWave()
+    {
+        wave_entry wave;
+        wave.number = 3;
+        wave.vms = {"vm0"};
+        wave.deadline = boot_clock::now() + milliseconds{27'000};
+        desired_state desired;
+        desired.waves = {wave};
+        m_store.remove(store_keys::jobRecord(firstJob));
+        m_vms.vms = {{"vm0", "pool", vm_state::up, "zone", {8000, 8000, 0}, executorName}};
+        m_owner->apply(desired);
+        startOwner();
+        registerExecutor(executorName, "vm0");
+        run(milliseconds{3400});
+    }
+
+    void registerExecutor(const std::string &id = executorName, const std::string &vm = "")
     {
         executor_registration info;
-        info.id = executorName;
+        info.id = id;
+        info.vm = vm;
         info.address = "127.0.0.1:1";
         info.pool = "pool";
         info.capacity = {8000, 8000, 0};
