Cancellations: a submission whose write is still on its way creates no job

Cause: the cancellation read a key that was not there yet and took it for one that would not come.

Evidence: the record's revision is higher than that of the read behind the 410; no cancel key exists. Ruled out: a lost cancellation; none was sent.

A cancellation that finds no job writes the entry on which each submission's write is conditional. A submission that is being retried elsewhere answers 503, as none of its writes can take effect any more.

Before: the three new cases of job_intake_test fail.

--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -46,9 +46,22 @@
                                                                                      : &*found;
 }
 
-std::string encodeRejection(milliseconds firstSubmittedAt)
+std::string encodeRejection(const submission_bar &bar)
 {
-    return boost::json::serialize(boost::json::object{{"first_ms", firstSubmittedAt.count()}});
+    boost::json::object out{{"first_ms", bar.firstSubmittedAt.count()}};
+    if (bar.cancelled)
+        out["cancelled"] = true;
+    return boost::json::serialize(out);
+}
+
+/** Returns whether a cancellation, not a rejection, bars the submissions that are on their way. */
+bool isCancellation(const keyspace_item &item)
+{
+    boost::system::error_code failure;
+    const boost::json::value value = boost::json::parse(item.value, failure);
+    const boost::json::object *const in = failure ? nullptr : value.if_object();
+    const boost::json::value *const cancelled = in ? in->if_contains("cancelled") : nullptr;
+    return cancelled && cancelled->is_bool() && cancelled->get_bool();
 }
 
 /** Returns the Unix time of the first submission; the present time if the value is damaged. */
@@ -160,6 +173,9 @@
             co_return submit_result{intake_outcome::done};
         if (conflict) {
             const keyspace_item *const earlier = findItem(outcome, rejection);
+            // No earlier write of this submission can take effect any more.
+            if (earlier && mayExist && isCancellation(*earlier))
+                co_return submit_result{intake_outcome::refused};
             if (earlier && mode == resubmission::ask)
                 co_return submit_result{intake_outcome::rejected_before, decodeRejection(*earlier)};
             write.conditions.back().revision = earlier ? earlier->revision : 0;
@@ -195,6 +211,12 @@
 
 asio::awaitable<intake_outcome> job_intake::reject(job_id id, milliseconds firstSubmittedAt,
                                                    milliseconds deadline)
+{
+    return bar(std::move(id), {firstSubmittedAt, false}, deadline);
+}
+
+asio::awaitable<intake_outcome> job_intake::bar(job_id id, submission_bar with,
+                                                milliseconds deadline)
 {
     const boot_time begun = boot_clock::now();
     const boot_time latest =
@@ -211,7 +233,7 @@
             // Rewritten also if it exists: that makes an earlier acceptance fail that is on its
             // way.
             const keyspace_write write{{{key, 0}, {rejection, rejectedAt}},
-                                       {{rejection, encodeRejection(firstSubmittedAt), lease}},
+                                       {{rejection, encodeRejection(with), lease}},
                                        {}};
             const keyspace_commit outcome = co_await commit(write);
             if (outcome.error == keyspace_error::none)
@@ -222,7 +244,7 @@
             const keyspace_item *const earlier = conflict ? findItem(outcome, rejection) : nullptr;
             rejectedAt = earlier ? earlier->revision : 0;
             if (earlier)
-                firstSubmittedAt = std::min(firstSubmittedAt, decodeRejection(*earlier));
+                with.firstSubmittedAt = std::min(with.firstSubmittedAt, decodeRejection(*earlier));
             if (outcome.error == keyspace_error::missing)
                 m_rejectionLease = 0;
         }
@@ -242,8 +264,14 @@
     const std::string cancelKey = store_keys::jobCancel(id);
     while (true) {
         const keyspace_range read = co_await get(record, deadline);
-        if (read.error == keyspace_error::missing)
-            co_return intake_outcome::missing;
+        if (read.error == keyspace_error::missing) {
+            // A submission whose write is still on its way must not create the job any more.
+            const intake_outcome barred = co_await bar(id, {unixNow(), true}, deadline);
+            if (barred == intake_outcome::done)
+                co_return intake_outcome::missing;
+            if (barred != intake_outcome::missing)
+                co_return intake_outcome::unknown;
+        }
         if (read.error == keyspace_error::none) {
             const keyspace_write write{{{record, read.items.front().revision}, {cancelKey, 0}},
                                        {{cancelKey, "{}", 0}},
--- a/src/azurelb/intake/job_intake.hpp
+++ b/src/azurelb/intake/job_intake.hpp
@@ -34,6 +34,15 @@
     std::chrono::milliseconds firstSubmittedAt{0};
 };
 
+/** Entry that makes earlier submissions of a job fail. */
+struct submission_bar
+{
+    /** Unix time of the first submission. */
+    std::chrono::milliseconds firstSubmittedAt{0};
+    /** The caller has cancelled the job; otherwise it was rejected. */
+    bool cancelled{false};
+};
+
 /** What to do with a submitted job that was rejected before. */
 enum class resubmission { ask, accept };
 
@@ -71,7 +80,8 @@
     reject(job_id id, std::chrono::milliseconds firstSubmittedAt,
            std::chrono::milliseconds deadline);
 
-    /** Stores a request to cancel a job. */
+    /** Stores a request to cancel a job. If there is no such job, submissions of it whose writes
+       may still be on their way create none any more; a later submission does. */
     [[nodiscard]] boost::asio::awaitable<intake_outcome> cancel(job_id id,
                                                                 std::chrono::milliseconds deadline);
 
@@ -89,6 +99,9 @@
     [[nodiscard]] boost::asio::awaitable<keyspace_range> get(std::string key,
                                                              std::chrono::milliseconds deadline);
     [[nodiscard]] boost::asio::awaitable<void> waitBeforeRetry();
+    /** Makes earlier submissions of the job fail; missing if the job exists. */
+    [[nodiscard]] boost::asio::awaitable<intake_outcome> bar(job_id id, submission_bar with,
+                                                             std::chrono::milliseconds deadline);
     /** Returns the lease of rejections; 0 if the store does not grant one. */
     [[nodiscard]] boost::asio::awaitable<store_lease_id> rejectionLease();
 
--- a/test/azurelb/intake/job_intake_test.cpp
+++ b/test/azurelb/intake/job_intake_test.cpp
@@ -32,6 +32,9 @@
     CPPUNIT_TEST(submitsDespiteLostAnswers);
     CPPUNIT_TEST(unansweredSubmissionIsUnknown);
     CPPUNIT_TEST(cancelsOnlyExistingJobs);
+    CPPUNIT_TEST(lateWriteBehindACancellationCreatesNoJob);
+    CPPUNIT_TEST(submissionDoesNotOutliveItsCancellation);
+    CPPUNIT_TEST(callerMaySubmitAfterACancellation);
     CPPUNIT_TEST(refusesAtOnceWhileTheStoreIsUnavailable);
     CPPUNIT_TEST(lostAnswersDoNotCountAsUnavailable);
     CPPUNIT_TEST(readsTheState);
@@ -85,6 +88,45 @@
         CPPUNIT_ASSERT(m_store.find(store_keys::jobCancel(job)));
     }
 
+    /** The submission gets no answer, the caller cancels it and is told that there is no such job;
+       the store carries out the write later. The job was started seconds after that answer. */
+    void lateWriteBehindACancellationCreatesNoJob()
+    {
+        m_store.lateCommits = 1000;
+        CPPUNIT_ASSERT(submit() == intake_outcome::unknown);
+        m_store.lateCommits = 0;
+        CPPUNIT_ASSERT(cancel() == intake_outcome::missing);
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(job)));
+    }
+
+    /** The submission is still being retried when another daemon answers the cancellation. */
+    void submissionDoesNotOutliveItsCancellation()
+    {
+        m_store.lateCommits = 1;
+        job_intake other{m_loop, m_store};
+        std::optional<submit_result> submitted;
+        std::optional<intake_outcome> cancelled;
+        spawn(m_intake.submit(makeRecord(), deadline, resubmission::ask), submitted);
+        m_loop.restart();
+        m_loop.run_for(milliseconds{20});
+        spawn(other.cancel(job, deadline), cancelled);
+        m_loop.run_for(milliseconds{500});
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT(cancelled == intake_outcome::missing);
+        CPPUNIT_ASSERT(submitted && submitted->outcome == intake_outcome::refused);
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(job)));
+    }
+
+    void callerMaySubmitAfterACancellation()
+    {
+        CPPUNIT_ASSERT(cancel() == intake_outcome::missing);
+        const submit_result first =
+            await(m_intake.submit(makeRecord(), deadline, resubmission::ask));
+        CPPUNIT_ASSERT(first.outcome == intake_outcome::rejected_before);
+        CPPUNIT_ASSERT(submit() == intake_outcome::done);
+    }
+
     /** Guards against operations that each wait 600 ms before they are refused during an outage:
         incident inc-7e8c of cantoria-grown, 800 refusals. */
     void refusesAtOnceWhileTheStoreIsUnavailable()
@@ -192,11 +234,17 @@
 
 private:
     template <typename Result>
-    Result await(boost::asio::awaitable<Result> operation)
+    void spawn(boost::asio::awaitable<Result> operation, std::optional<Result> &result)
     {
-        std::optional<Result> result;
         boost::asio::co_spawn(m_loop, std::move(operation),
                               [&result](std::exception_ptr, Result ended) { result = ended; });
+    }
+
+    template <typename Result>
+    Result await(boost::asio::awaitable<Result> operation)
+    {
+        std::optional<Result> result;
+        spawn(std::move(operation), result);
         m_loop.restart();
         while (!result && m_loop.run_one_for(2 * deadline) > 0) {
         }
@@ -205,10 +253,15 @@
     }
 
     intake_outcome submit()
+    {
+        return await(m_intake.submit(makeRecord(), deadline, resubmission::accept)).outcome;
+    }
+
+    [[nodiscard]] static job_record makeRecord()
     {
         job_record record;
         record.id = job;
-        return await(m_intake.submit(record, deadline, resubmission::accept)).outcome;
+        return record;
     }
 
     intake_outcome cancel() { return await(m_intake.cancel(job, deadline)); }
--- a/test/support/fake_keyspace.cpp
+++ b/test/support/fake_keyspace.cpp
@@ -67,6 +67,12 @@
         reply(std::move(done), std::move(outcome));
         return;
     }
+    if (lateCommits > 0) {
+        --lateCommits;
+        m_lateWrites.push_back(write);
+        reply(std::move(done), keyspace_commit{keyspace_error::unknown, 0, {}});
+        return;
+    }
     bool holds = true;
     for (const keyspace_condition &each : write.conditions) {
         const keyspace_item *const found = find(each.key);
@@ -93,6 +99,12 @@
     reply(std::move(done), std::move(outcome));
 }
 
+void fake_keyspace::executeLateCommits()
+{
+    for (const keyspace_write &each : std::exchange(m_lateWrites, {}))
+        commit(each, [](keyspace_commit &&) {});
+}
+
 void fake_keyspace::apply(const keyspace_write &write)
 {
     ++m_revision;
--- a/test/support/fake_keyspace.hpp
+++ b/test/support/fake_keyspace.hpp
@@ -36,12 +36,18 @@
 
     [[nodiscard]] const keyspace_item *find(const std::string &key) const;
 
+    /** Executes the late commits whose conditions hold. */
+    void executeLateCommits();
+
     /** Refuses all calls except revoke, without effect. */
     bool refuseCalls{false};
     /** Watches get no answer, as on a connection that has gone silent. */
     bool silentWatches{false};
     /** Number of commits that take effect but report an unknown outcome. */
     unsigned lostCommitReplies{0};
+    /** Number of commits that report an unknown outcome and are executed by executeLateCommits().
+     */
+    unsigned lateCommits{0};
     /** Number of items in one page. */
     std::size_t pageSize{2};
     unsigned commits{0};
@@ -69,6 +75,7 @@
     std::map<std::string, store_lease_id> m_leases{};
     std::vector<keyspace_item> m_history{};
     std::vector<pending_watch> m_watches{};
+    std::vector<keyspace_write> m_lateWrites{};
     std::uint64_t m_lastWatch{0};
     store_revision m_revision{1};
     store_revision m_firstRevision{0};
