Jobs: the limit of attempts is stored with the job

After a change of the owner, jobs whose route had been removed had no limit of attempts: it came from the configuration only. Found by reading (review), no caller has reported it.

The limit is stored when the job is accepted, and the queue's present limit replaces it while there is one. Stored by an earlier version: no limit, as before.

Before: jobsOfARemovedQueueKeepTheirLimitOfAttempts fails. After: passes.

--- a/src/azurelb/jobs/job_codec.cpp
+++ b/src/azurelb/jobs/job_codec.cpp
@@ -117,6 +117,7 @@
     job.configVersion = numberOr(in, "config", 0);
     job.acceptedAt = std::chrono::milliseconds{numberOr(in, "accepted_ms", 0)};
     job.spec = textOf(in, "spec");
+    job.maxAttempts = static_cast<std::uint32_t>(numberOr(in, "attempts", 0));
     job.repeats = static_cast<std::uint32_t>(numberOr(in, "repeats", 0));
     job.firstDue = std::chrono::milliseconds{numberOr(in, "first_due_ms", 0)};
     job.interval = std::chrono::milliseconds{numberOr(in, "interval_ms", 0)};
@@ -170,6 +171,8 @@
         {"id", job.id},     {"queue", job.queue},          {"pool", job.pool},
         {"team", job.team}, {"config", job.configVersion}, {"accepted_ms", job.acceptedAt.count()},
         {"spec", job.spec}, {"steps", std::move(steps)}};
+    if (job.maxAttempts != 0)
+        out["attempts"] = job.maxAttempts;
     if (job.repeats != 0) {
         out["repeats"] = job.repeats;
         out["first_due_ms"] = job.firstDue.count();
--- a/src/azurelb/jobs/job_record.hpp
+++ b/src/azurelb/jobs/job_record.hpp
@@ -21,6 +21,9 @@
     std::string team{};
     /** Configuration version under which the job was accepted. */
     std::int64_t configVersion{0};
+    /** Limit of the queue when the job was accepted: number of failed runs of a task at which the
+       job fails; 0 for no limit, or if an earlier version stored the job. */
+    std::uint32_t maxAttempts{0};
     /** Time of acceptance, in Unix time. */
     std::chrono::milliseconds acceptedAt{0};
     std::string spec{};
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -43,6 +43,8 @@
     job.inherited = inherited;
     job.acceptedAt = acceptedAt;
     job.storedRevision = storedRevision;
+    // The queue's present limit replaces it, unless the queue has been removed.
+    job.maxAttempts = job.record.maxAttempts;
     job.criticalPath = criticalPathLength(job.record.steps);
     job.shortWorkCoreMs = shortWorkCoreMs(job.record.steps);
     job.state = stored.state;
--- a/test/azurelb/scheduling/unread_state_test.cpp
+++ b/test/azurelb/scheduling/unread_state_test.cpp
@@ -1,5 +1,7 @@
 #include "scheduler_simulation.hpp"
 
+#include <azurelb/jobs/job_codec.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <variant>
@@ -24,6 +26,7 @@
     CPPUNIT_TEST(countsEndsUnderAnUnreadConfiguration);
     CPPUNIT_TEST(startsNothingUnderAnUnreadConfiguration);
     CPPUNIT_TEST(failsExhaustedJobsOnceTheConfigurationIsRead);
+    CPPUNIT_TEST(jobsOfARemovedQueueKeepTheirLimitOfAttempts);
     CPPUNIT_TEST(leavesRunsOfUnreadJobsAlone);
     CPPUNIT_TEST(adoptsRunsOnceTheirJobIsRead);
     CPPUNIT_TEST(countsEndsOnceTheirJobIsRead);
@@ -99,6 +102,26 @@
         CPPUNIT_ASSERT(m_scheduler.jobs().find(jobA)->state == job_state::failed);
     }
 
+    /** A route was removed before the takeover: its jobs go on, and the new owner can't read their
+        limit from the configuration any more. */
+    void jobsOfARemovedQueueKeepTheirLimitOfAttempts()
+    {
+        m_config.queues.clear();
+        m_scheduler.apply(m_config);
+        job_record job = makeJob(jobA, 1);
+        job.maxAttempts = 2;
+        const auto stored = decodeJob(encode(job));
+        CPPUNIT_ASSERT(stored.has_value());
+        m_scheduler.addJob(*stored, {}, 0, true, at(-200));
+        m_scheduler.applyReport("e",
+                                ended({{1, taskOf(jobA), 7, run_end::failed, {}},
+                                       {2, taskOf(jobA), 8, run_end::failed, {}}}),
+                                at(0), at(10));
+        advance(at(20));
+        CPPUNIT_ASSERT(m_scheduler.takeOrders().empty());
+        CPPUNIT_ASSERT(m_scheduler.jobs().find(jobA)->state == job_state::failed);
+    }
+
     void leavesRunsOfUnreadJobsAlone()
     {
         m_scheduler.setJobsReadAt(at(-500));
