Scheduler: a long run is not taken for stalled

A task of over 300 s moves by less than a percent in the 3 s after which its run was stopped as stalled, so that without checkpoints it never ended. Found by reading (review).

A run may stand still for 3 % of its expected duration, at least for 3 s. As the estimate is rough, each run of a task that seemed to stall doubles the time for the next.

Before: both new cases of scheduler_test fail. After: both pass.

--- a/src/azurelb/scheduling/executor_entry.cpp
+++ b/src/azurelb/scheduling/executor_entry.cpp
@@ -14,6 +14,7 @@
     made.backfill = step.backfill;
     made.serving = step.longRunning && !step.backfill && step.latencyTarget.count() > 0;
     made.latencyTarget = step.latencyTarget;
+    made.estimate = step.estimate;
     return made;
 }
 
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -39,6 +39,8 @@
     bool backfill{false};
     bool serving{false};
     std::chrono::milliseconds latencyTarget{0};
+    /** Expected duration of the run. */
+    std::chrono::milliseconds estimate{0};
     /** When the start order was sent. */
     boot_time requestedAt{};
     /** When the executor last confirmed the phase; reports requested later must list the run. */
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -24,6 +24,8 @@
     run_number lastEndedRun{0};
     /** Executor of the last failed run; the next run avoids it if possible. */
     executor_id lastFailedOn{};
+    /** Runs that were stopped as stalled. Not stored. */
+    std::uint32_t stalledRuns{0};
     std::string checkpoint{};
     executor_id executor{};
 };
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -524,9 +524,11 @@
     for (auto &[task, held] : executor.assignments) {
         const bool stalled = held.phase == assignment_phase::running
             && held.progressChangedAt != boot_time{} && held.progressPercent < fullPercent
-            && now - held.progressChangedAt > m_options.stallTimeout;
+            && now - held.progressChangedAt > stallTimeoutOf(task, held);
         if (!stalled)
             continue;
+        if (task_entry *const entry = m_jobs.find(task))
+            ++entry->stalledRuns;
         stopRun(executor, task, held, stop_reason::stalled, now);
         executor.consecutiveFailures = m_options.suspendAfterFailures;
         executor.suspendedUntil = now + m_options.suspensionTime;
@@ -534,6 +536,19 @@
     }
 }
 
+/** Progress is reported in whole percent, so a long run moves by one in a hundredth of its
+   duration. The estimate is rough: each run of the task that seemed to stall doubles the time for
+   the next. */
+milliseconds scheduler::stallTimeoutOf(const task_id &task, const assignment &held)
+{
+    constexpr std::uint32_t maxDoublings{12};
+    constexpr int percentTolerance{3};
+    const task_entry *const entry = m_jobs.find(task);
+    const std::uint32_t doublings = entry ? std::min(entry->stalledRuns, maxDoublings) : 0;
+    return std::max<milliseconds>(m_options.stallTimeout * (1U << doublings),
+                                  held.estimate * percentTolerance / fullPercent);
+}
+
 void scheduler::stopLongRunningIfDraining(executor_entry &executor, boot_time now)
 {
     if (!executor.info.draining || executor.unresponsive)
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -184,6 +184,9 @@
     void stopRun(executor_entry &executor, const task_id &task, assignment &held,
                  stop_reason reason, boot_time now);
     void dropAssignment(executor_entry &executor, const task_id &task, boot_time now);
+    /** Returns how long the reported progress of a run may stay unchanged. */
+    [[nodiscard]] std::chrono::milliseconds stallTimeoutOf(const task_id &task,
+                                                           const assignment &held);
     void stopStalled(executor_entry &executor, boot_time now);
     void stopLongRunningIfDraining(executor_entry &executor, boot_time now);
 
--- a/src/azurelb/scheduling/scheduling_options.hpp
+++ b/src/azurelb/scheduling/scheduling_options.hpp
@@ -25,8 +25,8 @@
     std::chrono::milliseconds ownerLeaseTerm{1500};
     /** Added to every upper bound on an executor's lease, to allow for timer and network delays. */
     std::chrono::milliseconds leaseMargin{150};
-    /** A run whose reported progress has not changed for this time is stopped and restarted. Three
-        times the report interval of a busy executor. */
+    /** A run whose reported progress has not changed for this time is stopped and restarted, unless
+        it is expected to take over 100 s. Three times the report interval of a busy executor. */
     std::chrono::milliseconds stallTimeout{3000};
     /** Time for which an executor gets no new runs after consecutive failures. */
     std::chrono::milliseconds suspensionTime{2000};
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -33,6 +33,11 @@
     return {std::chrono::hours{1}, run_end::done};
 }
 
+run_plan runsForTenMinutes(const task_id &)
+{
+    return {std::chrono::minutes{10}, run_end::done};
+}
+
 class scheduler_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(scheduler_test);
@@ -64,6 +69,8 @@
     CPPUNIT_TEST(evictionOfStartingRunsRespectsMaxUnavailable);
     CPPUNIT_TEST(startsWholeGangOrNothing);
     CPPUNIT_TEST(nothingStartsInEvacuatedZone);
+    CPPUNIT_TEST(longRunsAreNotTakenForStalled);
+    CPPUNIT_TEST(runsOfUnknownDurationEndInTheEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -444,6 +451,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, running());
     }
 
+    /** A task of over 300 s moves by less than a percent in the time after which a run counts as
+        stalled: it was stopped again and again, and never ended. */
+    void longRunsAreNotTakenForStalled()
+    {
+        m_simulation.setPlan(runsForTenMinutes);
+        job_record job = makeJob(jobA, 1);
+        job.steps.front().estimate = std::chrono::minutes{10};
+        m_simulation.submit(job);
+        m_simulation.advance(std::chrono::seconds{30});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_simulation.startsOf({jobA, 0, 0, 0}));
+    }
+
+    /** The same with a wrong estimate: the first two runs are stopped, the third is left alone. */
+    void runsOfUnknownDurationEndInTheEnd()
+    {
+        m_simulation.setPlan(runsForTenMinutes);
+        m_simulation.submit(makeJob(jobA, 1));
+        m_simulation.advance(std::chrono::seconds{60});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_simulation.startsOf({jobA, 0, 0, 0}));
+    }
+
 private:
     [[nodiscard]] std::size_t running()
     {
