Intake: a job whose progress can't be stored is refused at once

The progress of a job is one value of the store, of up to 1 MB. Found by reading (review).

Before: rejectsJobsWhoseProgressCantBeStored fails. After: passes.

--- a/test/platform/messages_test.cpp
+++ b/test/platform/messages_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(rejectsMalformedExecutors);
     CPPUNIT_TEST(readsSubmission);
     CPPUNIT_TEST(rejectsMalformedSubmissions);
+    CPPUNIT_TEST(rejectsJobsWhoseProgressCantBeStored);
     CPPUNIT_TEST(wireNamesAppearOnlyInThePlatformFolder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +103,18 @@
             CPPUNIT_ASSERT_MESSAGE(each, !decodeSubmission(each));
     }
 
+    /** The progress of such a job exceeds one value of the store. Its write would be refused for
+       ever, and with it all progress in the same write. */
+    void rejectsJobsWhoseProgressCantBeStored()
+    {
+        const std::string step{R"({"Count":2000})"};
+        std::string steps = step;
+        for (int count = 1; count < 5; ++count)
+            steps += ',' + step;
+        CPPUNIT_ASSERT(decodeSubmission(R"({"Phases":[)" + steps + "]}"));
+        CPPUNIT_ASSERT(!decodeSubmission(R"({"Phases":[)" + steps + ',' + step + "]}"));
+    }
+
     void wireNamesAppearOnlyInThePlatformFolder()
     {
         for (const auto &entry :
