--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -211,6 +211,9 @@
         lease ? std::optional{milliseconds{*lease}} : std::optional<milliseconds>{};
     const boot_time latest =
         boot_clock::now() + milliseconds{platform::integerOf(*in, "WaitMs").value_or(0)};
+    if (seen > m_model.lastSequence())
+        m_audit.addViolation("an end was acknowledged that the incarnation has not listed: "
+                             + m_id);
     const std::int64_t incarnation = m_model.info().startedUnixMs;
     while (true) {
         const boot_time now = boot_clock::now();
--- a/test/support/fake_executor.hpp
+++ b/test/support/fake_executor.hpp
@@ -60,6 +60,8 @@
     }
     /** Ended runs that have not been acknowledged. */
     [[nodiscard]] const std::vector<ended_run> &ended() const noexcept { return m_ended; }
+    /** Number of the present incarnation's latest ended run. */
+    [[nodiscard]] std::int64_t lastSequence() const noexcept { return m_sequence; }
     [[nodiscard]] std::chrono::milliseconds clock(boot_time now) const;
     /** Returns and clears the ended runs that were acknowledged since the last call, apart from
        those that ended before a lease expired: their acknowledgement does not count. */
