--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -242,7 +242,7 @@
         if (order.answered)
             progress.finished.insert(vm.vm);
         else
-            m_unanswered.insert(vm.vm);
+            m_unansweredMaintenance.insert(vm.vm);
         m_unreported.insert(order.wave);
     }
     if (!changed)
@@ -483,7 +483,8 @@
     if (!entry || m_orders.contains(vm))
         return;
     reserve(vm, true);
-    const bool mayBeRepeated = m_inheritedWaves.contains(wave) || m_unanswered.contains(vm);
+    const bool mayBeRepeated =
+        m_inheritedWaves.contains(wave) || m_unansweredMaintenance.contains(vm);
     m_orders[vm] = {entry->pool, entry->executor, boot_clock::now(), false, wave, mayBeRepeated};
     m_progress[wave].inMaintenance.insert(vm);
     logEvent(event::vm_maintenance_ordered, {{"target", vm}, {"wave", wave}});
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -153,7 +153,7 @@
     /** Waves that an earlier owner may have begun. */
     std::set<std::int64_t> m_inheritedWaves{};
     /** VMs whose maintenance was ordered without an answer. */
-    std::set<std::string> m_unanswered{};
+    std::set<std::string> m_unansweredMaintenance{};
     /** Waves whose progress has yet to be reported. */
     std::set<std::int64_t> m_unreported{};
     std::vector<pool_entry> m_pools{};
--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -46,10 +46,10 @@
                                                                                      : &*found;
 }
 
-std::string encodeRejection(const submission_bar &bar)
+std::string encodeRejection(const submission_barrier &barrier)
 {
-    boost::json::object out{{"first_ms", bar.firstSubmittedAt.count()}};
-    if (bar.cancelled)
+    boost::json::object out{{"first_ms", barrier.firstSubmittedAt.count()}};
+    if (barrier.cancelled)
         out["cancelled"] = true;
     return boost::json::serialize(out);
 }
@@ -212,11 +212,11 @@
 asio::awaitable<intake_outcome> job_intake::reject(job_id id, milliseconds firstSubmittedAt,
                                                    milliseconds deadline)
 {
-    return bar(std::move(id), {firstSubmittedAt, false}, deadline);
+    return blockSubmissions(std::move(id), {firstSubmittedAt, false}, deadline);
 }
 
-asio::awaitable<intake_outcome> job_intake::bar(job_id id, submission_bar with,
-                                                milliseconds deadline)
+asio::awaitable<intake_outcome> job_intake::blockSubmissions(job_id id, submission_barrier with,
+                                                             milliseconds deadline)
 {
     const boot_time begun = boot_clock::now();
     const boot_time latest =
@@ -266,10 +266,11 @@
         const keyspace_range read = co_await get(record, deadline);
         if (read.error == keyspace_error::missing) {
             // A submission whose write is still on its way must not create the job any more.
-            const intake_outcome barred = co_await bar(id, {unixNow(), true}, deadline);
-            if (barred == intake_outcome::done)
+            const intake_outcome barred =
+                co_await blockSubmissions(id, {unixNow(), true}, deadline);
+            if (blocked == intake_outcome::done)
                 co_return intake_outcome::missing;
-            if (barred != intake_outcome::missing)
+            if (blocked != intake_outcome::missing)
                 co_return intake_outcome::unknown;
         }
         if (read.error == keyspace_error::none) {
--- a/src/azurelb/intake/job_intake.hpp
+++ b/src/azurelb/intake/job_intake.hpp
@@ -35,7 +35,7 @@
 };
 
 /** Entry that makes earlier submissions of a job fail. */
-struct submission_bar
+struct submission_barrier
 {
     /** Unix time of the first submission. */
     std::chrono::milliseconds firstSubmittedAt{0};
@@ -100,8 +100,8 @@
                                                              std::chrono::milliseconds deadline);
     [[nodiscard]] boost::asio::awaitable<void> waitBeforeRetry();
     /** Makes earlier submissions of the job fail; missing if the job exists. */
-    [[nodiscard]] boost::asio::awaitable<intake_outcome> bar(job_id id, submission_bar with,
-                                                             std::chrono::milliseconds deadline);
+    [[nodiscard]] boost::asio::awaitable<intake_outcome>
+    blockSubmissions(job_id id, submission_barrier with, std::chrono::milliseconds deadline);
     /** Returns the lease of rejections; 0 if the store does not grant one. */
     [[nodiscard]] boost::asio::awaitable<store_lease_id> rejectionLease();
 
