Scheduler: the stall timeout is looked up only for runs that stand still

stallTimeoutOf looks the task up, for each run of each executor every 40 ms. It is now asked only for runs that have stood still for the shortest timeout.

--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -266,7 +266,7 @@
         const keyspace_range read = co_await get(record, deadline);
         if (read.error == keyspace_error::missing) {
             // A submission whose write is still on its way must not create the job any more.
-            const intake_outcome barred =
+            const intake_outcome blocked =
                 co_await blockSubmissions(id, {unixNow(), true}, deadline);
             if (blocked == intake_outcome::done)
                 co_return intake_outcome::missing;
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -524,6 +524,7 @@
     for (auto &[task, held] : executor.assignments) {
         const bool stalled = held.phase == assignment_phase::running
             && held.progressChangedAt != boot_time{} && held.progressPercent < fullPercent
+            && now - held.progressChangedAt > m_options.stallTimeout
             && now - held.progressChangedAt > stallTimeoutOf(task, held);
         if (!stalled)
             continue;
