Entries of other writers: each reader of the list has a test, numbers are checked

A capacity or start time of servers/ that is too large, fractional or of another type counted as 0, so that the entry still named an executor, which the owner then asked for reports; likewise in the record of an executor. The processors inf of a candidate made an owner yield to a VM that does not exist. No process ended by any of these.

Cause: a number that can't be read was taken for 0, the value of an absent one.

Present numbers must be whole and in range, or the entry names nothing. The list of VMs was mended in without tests of its own; it has three now.

Two comments that spoke of connections and daemons in figures are reworded.

--- a/src/azurelb/control/executor_registration_codec.cpp
+++ b/src/azurelb/control/executor_registration_codec.cpp
@@ -63,7 +63,9 @@
     info.zone = textOf("zone");
     info.vm = textOf("vm");
     const json::value *const born = in.if_contains("born");
-    info.startedUnixMs = born && born->is_int64() ? born->get_int64() : 0;
+    if (born && !born->is_int64())
+        return std::nullopt;
+    info.startedUnixMs = born ? born->get_int64() : 0;
     if (!isWellFormed(info))
         return std::nullopt;
     return info;
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace azurelb {
@@ -37,7 +38,7 @@
     double processors = 0;
     const char *const end = item.value.data() + item.value.size();
     const auto read = std::from_chars(item.value.data(), end, processors);
-    if (read.ec == std::errc{} && read.ptr == end)
+    if (read.ec == std::errc{} && read.ptr == end && std::isfinite(processors) && processors > 0)
         return processors;
     logEvent(event::stored_value_damaged, {{"key", item.key}});
     return 0;
--- a/src/azurelb/http/http_connection.cpp
+++ b/src/azurelb/http/http_connection.cpp
@@ -102,7 +102,7 @@
 
 void http_connection::handleRead(error_code error)
 {
-    // Without a length the end of the response cannot be told from a lost connection.
+    // Without a length, a complete response and a lost connection look alike.
     if (error || m_closed || m_parser->need_eof()) {
         fail(http_progress::sent);
         return;
--- a/src/azurelb/limits/rights_peers.hpp
+++ b/src/azurelb/limits/rights_peers.hpp
@@ -39,8 +39,8 @@
     void adopt(const wire::rights_document &document);
 
     /**
-     * Determines which daemons are gone, and erases reclaimed ones. A daemon with a recent
-     * heartbeat never counts as gone, so that a wrong VM list cannot stop a running daemon.
+     * Determines which daemons have been removed, and erases reclaimed ones. A daemon with a recent
+     * heartbeat never counts as removed, so that a wrong VM list cannot stop a running daemon.
      */
     void update(time_point now);
 
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -622,7 +622,9 @@
 
     void damagedEntryOfACandidateIsIgnored()
     {
-        m_store.put(store_keys::candidate("damaged"), "4x");
+        int number = 0;
+        for (const char *const each : {"4x", "inf", "nan", "1e999", "-4", "[[[[", ""})
+            m_store.put(store_keys::candidate("damaged" + std::to_string(++number)), each);
         startOwner();
         CPPUNIT_ASSERT_EQUAL(0, m_yields);
     }
@@ -637,6 +639,12 @@
             info.address = address;
             m_store.put(store_keys::executor(info.id + address), encodeRegistration(info));
         }
+        const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+        const std::string sound{R"({"id":"odd","address":"10.0.0.7:80","pool":"pool","born":)"};
+        for (const std::string &each :
+             {nested, sound + nested + '}', sound + "1e300}", sound + "99999999999999999999}",
+              sound + "1e99999999999}", sound + R"("5"})", std::string{"\xff"}, std::string{}})
+            m_store.put(store_keys::executor("odd" + std::to_string(each.size())), each);
         startOwner();
         registerExecutor();
         run(milliseconds{300});
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -2,6 +2,7 @@
 #include <support/reserved_port.hpp>
 #include <support/run_until.hpp>
 
+#include <azurelb/control/vm_service.hpp>
 #include <azurelb/http/http_limits.hpp>
 #include <azurelb/http/http_server.hpp>
 #include <azurelb/http/problem_response.hpp>
@@ -12,6 +13,7 @@
 #include <platform/relay_directory.hpp>
 #include <platform/store_client.hpp>
 #include <platform/store_transport.hpp>
+#include <platform/vm_client.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,6 +21,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -83,6 +86,27 @@
     http_server m_server;
 };
 
+/** Gives the same answer to all calls. */
+class fixed_platform
+{
+public:
+    fixed_platform(asio::io_context &loop, const std::string &address, unsigned status,
+                   std::string body)
+        : m_server{loop, address, http_limits{},
+                   [status, body = std::move(body)](
+                       const http_request &) -> asio::awaitable<http_response> {
+                       co_return jsonResponse(http::int_to_status(status), body);
+                   }}
+    {
+        m_server.start();
+    }
+
+    ~fixed_platform() { m_server.close(); }
+
+private:
+    http_server m_server;
+};
+
 /** Another writer has left entries that name no executor or no daemon. If one of them ends a daemon
     that reads it, or keeps the others from being read, every daemon fails in the same way, and
    again after each restart. */
@@ -92,6 +116,9 @@
     CPPUNIT_TEST(oddEntriesNameNoExecutor);
     CPPUNIT_TEST(soundEntriesBesideOddOnesAreRead);
     CPPUNIT_TEST(oddAddressIsNoRelay);
+    CPPUNIT_TEST(oddEntryOfTheVmListHidesNoOther);
+    CPPUNIT_TEST(vmListWithAnEntryWithoutANameIsNotWhole);
+    CPPUNIT_TEST(onlyAClearRefusalRefusesAnOrder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,7 +185,68 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.8:7001"}, relays.front());
     }
 
+    /** A VM that is not listed counts as gone, and a wave as completed without it. */
+    void oddEntryOfTheVmListHidesNoOther()
+    {
+        const vm_listing listing = readList(
+            R"({"Machine":"m1","Pool":"p","State":"up","Id":"i1","FreeCapacity":{"Cpu":64000}},)"
+            R"({"Machine":"m2","Pool":)"
+            + nested(20)
+            + R"(,"State":"up"},)"
+              R"({"Machine":"m3","Pool":"p","State":"asleep","FreeCapacity":{"Cpu":1e300}},)"
+              R"({"Machine":"m4","Pool":"p","State":7,"Id":99999999999999999999})");
+        CPPUNIT_ASSERT(listing.ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, listing.vms.size());
+        CPPUNIT_ASSERT(listing.vms.front().state == vm_state::up);
+        for (std::size_t index = 1; index < listing.vms.size(); ++index)
+            CPPUNIT_ASSERT(listing.vms[index].state == vm_state::down);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, listing.vms[2].capacity.cpu);
+    }
+
+    void vmListWithAnEntryWithoutANameIsNotWhole()
+    {
+        CPPUNIT_ASSERT(!readList(R"({"Pool":"p","State":"up"})").ok);
+        CPPUNIT_ASSERT(!readList(R"({"Machine":7,"Pool":"p","State":"up"})").ok);
+        CPPUNIT_ASSERT(!readList(nested(100'000)).ok);
+    }
+
+    /** A refused order takes its VM out of the wave, which is then completed without it. */
+    void onlyAClearRefusalRefusesAnOrder()
+    {
+        CPPUNIT_ASSERT(maintain(409, R"({"Reason":"wave"})") == vm_order_outcome::refused);
+        CPPUNIT_ASSERT(maintain(400, "{}") == vm_order_outcome::refused);
+        CPPUNIT_ASSERT(maintain(409, R"({"Reason":"busy"})") == vm_order_outcome::busy);
+        CPPUNIT_ASSERT(maintain(409, "not JSON") == vm_order_outcome::busy);
+        CPPUNIT_ASSERT(maintain(500, "{}") == vm_order_outcome::unknown);
+        CPPUNIT_ASSERT(maintain(404, "{}") == vm_order_outcome::unknown);
+    }
+
 private:
+    /** Reads the VM list from a platform that answers with the rows. */
+    [[nodiscard]] vm_listing readList(const std::string &rows)
+    {
+        const reserved_port port;
+        const fixed_platform platform{m_loop, port.text(), 200,
+                                      R"({"Machines":[)" + rows + R"(],"NextToken":""})"};
+        vm_client client{m_loop, port.text(), "vm"};
+        std::optional<vm_listing> listing;
+        client.list([&listing](vm_listing &&read) { listing = std::move(read); });
+        CPPUNIT_ASSERT(runUntil(m_loop, [&listing] { return listing.has_value(); }));
+        return std::move(*listing);
+    }
+
+    /** Returns the outcome of an order for maintenance that the platform answers in this way. */
+    [[nodiscard]] vm_order_outcome maintain(unsigned status, const std::string &body)
+    {
+        const reserved_port port;
+        const fixed_platform platform{m_loop, port.text(), status, body};
+        vm_client client{m_loop, port.text(), "vm"};
+        std::optional<vm_order_outcome> outcome;
+        client.maintain("m1", 1, [&outcome](vm_order_outcome answered) { outcome = answered; });
+        CPPUNIT_ASSERT(runUntil(m_loop, [&outcome] { return outcome.has_value(); }));
+        return *outcome;
+    }
+
     [[nodiscard]] static std::vector<std::string> oddEntries()
     {
         constexpr std::size_t greatDepth{100'000};
@@ -166,6 +254,16 @@
                 std::string(greatDepth, '['),
                 replaced("5", nested(greatDepth)),
                 replaced("16000", "1e99999999999"),
+                replaced("16000", "1e300"),
+                replaced("16000", "99999999999999999999"),
+                replaced("16000", "1000000001"),
+                replaced("16000", "-1"),
+                replaced("16000", "0.5"),
+                replaced("16000", "\"16000\""),
+                replaced("\"born\":5", "\"born\":1e300"),
+                replaced("\"born\":5", "\"born\":99999999999999999999"),
+                replaced("\"born\":5", "\"born\":\"5\""),
+                replaced("\"born\":5", "\"born\":-5"),
                 replaced("10.1.0.9:80", "10.1.0.9:65536"),
                 replaced("10.1.0.9:80", "10.1.0.9:99999999999999999999"),
                 replaced("10.1.0.9:80", "10.1.0.9:0"),
