--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -46,7 +46,7 @@
                                                                                      : &*found;
 }
 
-std::string encodeRejection(const submission_barrier &barrier)
+std::string encode(const submission_barrier &barrier)
 {
     boost::json::object out{{"first_ms", barrier.firstSubmittedAt.count()}};
     if (barrier.cancelled)
@@ -54,27 +54,20 @@
     return boost::json::serialize(out);
 }
 
-/** Returns whether a cancellation, not a rejection, bars the submissions that are on their way. */
-bool isCancellation(const keyspace_item &item)
-{
-    boost::system::error_code failure;
-    const boost::json::value value = boost::json::parse(item.value, failure);
-    const boost::json::object *const in = failure ? nullptr : value.if_object();
-    const boost::json::value *const cancelled = in ? in->if_contains("cancelled") : nullptr;
-    return cancelled && cancelled->is_bool() && cancelled->get_bool();
-}
-
-/** Returns the Unix time of the first submission; the present time if the value is damaged. */
-milliseconds decodeRejection(const keyspace_item &item)
+/** Decodes a barrier; of a damaged one, the first submission counts as made now. */
+submission_barrier decodeBarrier(const keyspace_item &item)
 {
     boost::system::error_code failure;
     const boost::json::value value = boost::json::parse(item.value, failure);
     const boost::json::object *const in = failure ? nullptr : value.if_object();
     const boost::json::value *const time = in ? in->if_contains("first_ms") : nullptr;
-    if (time && time->is_int64())
-        return milliseconds{time->get_int64()};
-    logEvent(event::stored_value_damaged, {{"key", item.key}});
-    return unixNow();
+    if (!time || !time->is_int64()) {
+        logEvent(event::stored_value_damaged, {{"key", item.key}});
+        return {unixNow(), false};
+    }
+    const boost::json::value *const cancelled = in->if_contains("cancelled");
+    return {milliseconds{time->get_int64()},
+            cancelled && cancelled->is_bool() && cancelled->get_bool()};
 }
 
 boot_time latestAnswerTime(boot_time from, milliseconds deadline)
@@ -174,10 +167,11 @@
         if (conflict) {
             const keyspace_item *const earlier = findItem(outcome, rejection);
             // No earlier write of this submission can take effect any more.
-            if (earlier && mayExist && isCancellation(*earlier))
+            if (earlier && mayExist && decodeBarrier(*earlier).cancelled)
                 co_return submit_result{intake_outcome::refused};
             if (earlier && mode == resubmission::ask)
-                co_return submit_result{intake_outcome::rejected_before, decodeRejection(*earlier)};
+                co_return submit_result{intake_outcome::rejected_before,
+                                        decodeBarrier(*earlier).firstSubmittedAt};
             write.conditions.back().revision = earlier ? earlier->revision : 0;
             write.removals.assign(earlier ? 1 : 0, rejection);
         } else {
@@ -232,9 +226,8 @@
         if (lease != 0) {
             // Rewritten also if it exists: that makes an earlier acceptance fail that is on its
             // way.
-            const keyspace_write write{{{key, 0}, {rejection, rejectedAt}},
-                                       {{rejection, encodeRejection(with), lease}},
-                                       {}};
+            const keyspace_write write{
+                {{key, 0}, {rejection, rejectedAt}}, {{rejection, encode(with), lease}}, {}};
             const keyspace_commit outcome = co_await commit(write);
             if (outcome.error == keyspace_error::none)
                 co_return intake_outcome::done;
@@ -244,7 +237,8 @@
             const keyspace_item *const earlier = conflict ? findItem(outcome, rejection) : nullptr;
             rejectedAt = earlier ? earlier->revision : 0;
             if (earlier)
-                with.firstSubmittedAt = std::min(with.firstSubmittedAt, decodeRejection(*earlier));
+                with.firstSubmittedAt =
+                    std::min(with.firstSubmittedAt, decodeBarrier(*earlier).firstSubmittedAt);
             if (outcome.error == keyspace_error::missing)
                 m_rejectionLease = 0;
         }
--- a/src/azurelb/scheduling/executor_entry.cpp
+++ b/src/azurelb/scheduling/executor_entry.cpp
@@ -18,4 +18,10 @@
     return made;
 }
 
+bool isOtherIncarnation(const executor_entry &known, std::int64_t startedUnixMs) noexcept
+{
+    return known.info.startedUnixMs != 0 && startedUnixMs != 0
+        && known.info.startedUnixMs != startedUnixMs;
+}
+
 } // namespace azurelb
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -141,4 +141,9 @@
     [[nodiscard]] std::size_t shortRuns() const noexcept { return assignments.size() - longRuns; }
 };
 
+/** Returns whether the start time, in Unix milliseconds, is known and differs from that of the
+   known incarnation. */
+[[nodiscard]] bool isOtherIncarnation(const executor_entry &known,
+                                      std::int64_t startedUnixMs) noexcept;
+
 } // namespace azurelb
--- a/src/azurelb/scheduling/scheduling_options.hpp
+++ b/src/azurelb/scheduling/scheduling_options.hpp
@@ -38,6 +38,10 @@
     queue_order order{queue_order::newest_first};
 };
 
+/** Time without new runs for an executor that may have no free resources: its next report takes
+    up to this long. */
+inline constexpr std::chrono::milliseconds noRoomBackoff{200};
+
 /** Factor by which a lease may last longer in local time: an executor's clock may be slow by 2 %.
  */
 inline constexpr double slowClockFactor{1.0 / 0.98};
