Owner: logs show orders on another incarnation, and when leases of earlier owners count as over

Line 924 compares the clock in the answer to a start order with the one for which its lease was meant; line 925 says when a new owner takes the runs of an executor that it has not heard for ended. Both have counters.

Tests: countsOrdersThatAnotherIncarnationCarriedOut and a check in newOwnerWaitsForAnUnreachableIncarnation.

--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -45,6 +45,14 @@
     executor_report report{};
 };
 
+/** Answer to a start order. */
+struct start_reply
+{
+    start_outcome outcome{start_outcome::unknown};
+    /** The executor's clock; empty if it did not answer. */
+    std::optional<std::chrono::milliseconds> clock{};
+};
+
 /**
  * Sends orders to executors, each with the owner's fencing token. Each handler runs exactly once,
  * on the event loop and never inside the call, unless disconnect() drops it. A call without an
@@ -54,7 +62,7 @@
 {
 public:
     using report_handler = std::function<void(executor_reply &&)>;
-    using start_handler = std::function<void(start_outcome)>;
+    using start_handler = std::function<void(start_reply)>;
     using stop_handler = std::function<void(start_outcome)>;
     /** Returns whether an order may still be sent. */
     using send_permission = std::function<bool()>;
--- a/src/azurelb/control/fwd.hpp
+++ b/src/azurelb/control/fwd.hpp
@@ -7,6 +7,7 @@
 enum class vm_state;
 struct executor_reply;
 struct report_request;
+struct start_reply;
 struct vm_entry;
 struct vm_listing;
 class executor_gateway;
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -48,6 +48,9 @@
 /** How long an ended job can be queried: the 120 s that the platform requires and a margin. */
 constexpr milliseconds endedJobRetention{150'000};
 constexpr milliseconds expiryInterval{5000};
+/** Greatest difference between an executor's clock in an answer and the one that is expected from
+    its last report: the rate is off by 2 % at most, and both may be held up on their way. */
+constexpr milliseconds clockTolerance{1000};
 /** Number of run numbers for each owner; the token forms the upper bits. */
 constexpr run_number runsPerOwner{run_number{1} << 24U};
 
@@ -370,33 +373,43 @@
     if (!executor)
         return;
     const auto sent = std::make_shared<const start_order>(order);
+    const boot_time orderedAt = boot_clock::now();
     m_services.executors.start(
         executor->info.address, order,
         [this, sent, alive = std::weak_ptr<bool>{m_alive}] {
             return !alive.expired() && permits(order_kind::start)
                 && m_scheduler.isStartPending(*sent);
         },
-        [this, sent, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
-            if (alive.expired())
-                return;
-            const start_order &order = *sent;
-            if (outcome == start_outcome::fenced) {
-                m_onLost("an executor has accepted orders from a newer owner");
-                return;
-            }
-            m_services.metrics.recordStart(outcome);
-            if (outcome != start_outcome::started)
-                logEvent(event::run_not_started,
-                         {{"task", toString(order.task)},
-                          {"run", order.run},
-                          {"executor", order.executor},
-                          {"outcome", toString(outcome)}});
-            m_scheduler.applyStartOutcome(order, outcome, boot_clock::now());
-            if (outcome != start_outcome::started)
-                scheduleAdvance();
+        [this, sent, orderedAt, alive = std::weak_ptr<bool>{m_alive}](start_reply reply) {
+            if (!alive.expired())
+                handleStartReply(*sent, reply, orderedAt);
         });
 }
 
+void owner::handleStartReply(const start_order &order, const start_reply &reply,
+                             boot_time orderedAt)
+{
+    if (reply.outcome == start_outcome::fenced) {
+        m_onLost("an executor has accepted orders from a newer owner");
+        return;
+    }
+    const boot_time now = boot_clock::now();
+    m_services.metrics.recordStart(reply.outcome);
+    if (reply.outcome != start_outcome::started)
+        logEvent(event::run_not_started,
+                 {{"task", toString(order.task)},
+                  {"run", order.run},
+                  {"executor", order.executor},
+                  {"outcome", toString(reply.outcome)}});
+    const milliseconds expectedClock =
+        order.leaseEnd - m_options.scheduling.leaseTerm + (now - orderedAt);
+    if (reply.clock && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance)
+        m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    m_scheduler.applyStartOutcome(order, reply.outcome, now);
+    if (reply.outcome != start_outcome::started)
+        scheduleAdvance();
+}
+
 void owner::send(const stop_order &order)
 {
     const executor_entry *const executor = m_scheduler.executors().find(order.executor);
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -134,6 +134,7 @@
     void sendOrders();
     std::size_t logStarts(const executor_orders &orders, std::size_t index) const;
     void send(const start_order &order);
+    void handleStartReply(const start_order &order, const start_reply &reply, boot_time orderedAt);
     void send(const stop_order &order);
     void send(const cpu_share_order &order);
     void handleStored();
--- a/src/azurelb/control/owner_metrics.cpp
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -1,6 +1,7 @@
 #include <azurelb/control/owner_metrics.hpp>
 #include <azurelb/log/log.hpp>
 #include <azurelb/metrics/metrics.hpp>
+#include <azurelb/scheduling/orders.hpp>
 #include <azurelb/scheduling/start_outcome.hpp>
 
 #include <prometheus/counter.h>
@@ -85,6 +86,15 @@
         .Increment();
 }
 
+void owner_metrics::write(const earlier_leases_over_notice &notice)
+{
+    logEvent(event::earlier_leases_over, {{"executor", notice.executor}});
+    m_registry
+        .counter("azurelb_executors_unheard_total",
+                 "Executors of earlier owners that did not answer before their leases ended.")
+        .Increment();
+}
+
 void owner_metrics::write(const unread_job_notice &notice)
 {
     logEvent(event::run_undecided, {{"executor", notice.executor}, {"job", notice.job}});
@@ -116,6 +126,22 @@
     counter->Increment();
 }
 
+void owner_metrics::recordOtherIncarnation(const start_order &order,
+                                           std::chrono::milliseconds clock,
+                                           std::chrono::milliseconds expectedClock)
+{
+    logEvent(event::order_on_other_incarnation,
+             {{"executor", order.executor},
+              {"task", toString(order.task)},
+              {"run", order.run},
+              {"clock_ms", clock.count()},
+              {"expected_ms", expectedClock.count()}});
+    m_registry
+        .counter("azurelb_orders_on_other_incarnation_total",
+                 "Start orders that another incarnation of their executor has carried out.")
+        .Increment();
+}
+
 void owner_metrics::recordEventLoopDelay(std::chrono::milliseconds delay)
 {
     m_registry
--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -29,6 +29,10 @@
     void record(const scheduling_notice &notice);
     void recordElection();
     void recordStart(start_outcome outcome);
+    /** Records the answer to a start order that another incarnation of the executor has carried
+        out. The clocks are those in the answer and in the order's incarnation. */
+    void recordOtherIncarnation(const start_order &order, std::chrono::milliseconds clock,
+                                std::chrono::milliseconds expectedClock);
     /** Records the greatest lateness of the event loop since the last call. */
     void recordEventLoopDelay(std::chrono::milliseconds delay);
     /** Records the age of an input of the owner's decisions. */
@@ -40,6 +44,7 @@
     void write(const job_ended_notice &notice);
     void write(const run_ended_notice &notice);
     void write(const executor_restarted_notice &notice);
+    void write(const earlier_leases_over_notice &notice);
     void write(const unread_job_notice &notice);
     void write(const executor_suspended_notice &notice);
 
--- a/src/azurelb/log/event.hpp
+++ b/src/azurelb/log/event.hpp
@@ -73,6 +73,8 @@
     executor_ended = 921,
     executor_suspended = 922,
     executor_restarted = 923,
+    order_on_other_incarnation = 924,
+    earlier_leases_over = 925,
     owner_elected = 930,
     owner_ready = 931,
     owner_lost = 932,
--- a/src/azurelb/log/event_entry.cpp
+++ b/src/azurelb/log/event_entry.cpp
@@ -71,6 +71,8 @@
     {event::executor_ended, severity::info, "executor_ended"},
     {event::executor_suspended, severity::warning, "executor_suspended"},
     {event::executor_restarted, severity::info, "executor_restarted"},
+    {event::order_on_other_incarnation, severity::warning, "order_on_other_incarnation"},
+    {event::earlier_leases_over, severity::warning, "earlier_leases_over"},
     {event::owner_elected, severity::info, "owner_elected"},
     {event::owner_ready, severity::info, "owner_ready"},
     {event::owner_lost, severity::warning, "owner_lost"},
--- a/src/azurelb/scheduling/notices.hpp
+++ b/src/azurelb/scheduling/notices.hpp
@@ -53,6 +53,13 @@
     std::size_t undecidedRuns{0};
 };
 
+/** The leases that earlier owners may have granted to an executor are over, and it has not reported
+    to this owner. */
+struct earlier_leases_over_notice
+{
+    executor_id executor{};
+};
+
 /** An executor has reported a run of a job that this owner has not read yet. */
 struct unread_job_notice
 {
@@ -70,7 +77,7 @@
 /** Events of the scheduler for logs and metrics. */
 using scheduling_notice =
     std::variant<job_started_notice, job_ended_notice, run_ended_notice, executor_restarted_notice,
-                 unread_job_notice, executor_suspended_notice>;
+                 earlier_leases_over_notice, unread_job_notice, executor_suspended_notice>;
 using scheduling_notices = std::vector<scheduling_notice>;
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -256,7 +256,11 @@
 
 void scheduler::checkExecutors(boot_time now, boot_time confirmedAt)
 {
-    m_checkedAt = now;
+    const boot_time before = std::exchange(m_checkedAt, now);
+    for (const auto &[id, executor] : m_executors.all()) {
+        if (mayHaveUnknownRuns(executor, before) && !mayHaveUnknownRuns(executor, now))
+            m_notices.emplace_back(earlier_leases_over_notice{id});
+    }
     for (const executor_id &id : m_executors.executorsWithExpiredLease(std::min(now, confirmedAt)))
     {
         executor_entry &executor = *m_executors.find(id);
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -175,6 +175,7 @@
     CPPUNIT_TEST(startsNothingWhileTheWatchOfJobsIsSilent);
     CPPUNIT_TEST(withholdsAnOrderThatWaitedThroughAPause);
     CPPUNIT_TEST(withholdsAnOrderWhoseRunWasGivenUp);
+    CPPUNIT_TEST(countsOrdersThatAnotherIncarnationCarriedOut);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -259,6 +260,23 @@
         CPPUNIT_ASSERT(!m_gateway.queue.front().maySend());
     }
 
+    /** The executor restarts before it gets the order, so that its clock begins anew. Unseen, the
+        lease that it grants by this clock would be taken for one by the former clock. */
+    void countsOrdersThatAnotherIncarnationCarriedOut()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        const fake_gateway::queued_start &order = m_gateway.queue.front();
+        const prometheus::Counter &counted =
+            m_metrics.counter("azurelb_orders_on_other_incarnation_total", "");
+        const milliseconds sentAt = order.order.leaseEnd - scheduling_options{}.leaseTerm;
+        order.done({start_outcome::started, sentAt + milliseconds{500}});
+        CPPUNIT_ASSERT_EQUAL(0.0, counted.Value());
+        order.done({start_outcome::started, milliseconds{3'600'000}});
+        CPPUNIT_ASSERT_EQUAL(1.0, counted.Value());
+    }
+
     /** The same after a longer cut, in which the store removes the registration of the executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
@@ -282,7 +300,7 @@
         registerExecutor();
         run(milliseconds{300});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
-        m_gateway.queue.front().done(start_outcome::other_incarnation);
+        m_gateway.queue.front().done({start_outcome::other_incarnation});
         m_gateway.queue.clear();
         run(milliseconds{300});
         registerExecutor();
@@ -298,7 +316,7 @@
         registerExecutor();
         run(milliseconds{300});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
-        m_gateway.queue.front().done(start_outcome::other_incarnation);
+        m_gateway.queue.front().done({start_outcome::other_incarnation});
         m_gateway.queue.clear();
         registerExecutor();
         run(milliseconds{300});
@@ -571,7 +589,7 @@
         std::this_thread::sleep_for(milliseconds{1300});
         const fake_gateway::queued_start waiting = m_gateway.queue.front();
         CPPUNIT_ASSERT(!waiting.maySend());
-        waiting.done(start_outcome::withheld);
+        waiting.done({start_outcome::withheld});
         m_gateway.queue.clear();
         // The cancellation is read before anything is started again.
         m_store.put(store_keys::jobRecord(secondJob), encode(makeJob(secondJob)));
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -205,10 +205,14 @@
         scheduling.addJob(makeJob(jobA, 1), {}, 0, true, at(0));
         scheduling.registerExecutor(registration(2), at(0));
         addOther(scheduling);
+        (void)scheduling.takeNotices();
         advance(scheduling, at(5900));
         CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+        CPPUNIT_ASSERT(scheduling.takeNotices().empty());
         advance(scheduling, at(12'000));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeOrders().size());
+        CPPUNIT_ASSERT(
+            std::holds_alternative<earlier_leases_over_notice>(scheduling.takeNotices().front()));
     }
 
     /** The end of a lease that was meant for the former clock lies far ahead on the new one, whose
