Failing tests: a start order reaches an executor that has restarted

Orders name the incarnation for which they are meant and in whose clock their lease is; the client does not look at it yet.

--- a/src/azurelb/scheduling/orders.hpp
+++ b/src/azurelb/scheduling/orders.hpp
@@ -5,6 +5,7 @@
 #include <azurelb/scheduling/stop_reason.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,6 +22,9 @@
     std::string checkpoint{};
     /** End of the lease in the executor's clock. */
     std::chrono::milliseconds leaseEnd{0};
+    /** Incarnation for which the order is meant, and in whose clock leaseEnd is: its start time in
+        Unix milliseconds; 0 if unknown. */
+    std::int64_t startedUnixMs{0};
 };
 
 /** Stops a run. An executor that receives the stop before the start rejects the start. */
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -260,7 +260,8 @@
     const milliseconds leaseEnd = m_executors.leaseEnd(executor, now);
     m_executors.recordLease(executor, leaseEnd);
     m_orders.emplace_back(start_order{executor.info.id, task, run, record.spec,
-                                      m_jobs.find(task)->checkpoint, leaseEnd});
+                                      m_jobs.find(task)->checkpoint, leaseEnd,
+                                      executor.info.startedUnixMs});
 }
 
 std::unordered_map<std::string, pool_load> scheduler::poolLoads(boot_time now) const
--- a/src/azurelb/scheduling/start_outcome.hpp
+++ b/src/azurelb/scheduling/start_outcome.hpp
@@ -28,6 +28,8 @@
     other_incarnation,
     /** The order was not sent, since its inputs had become outdated. */
     withheld,
+    /** The order was not sent, since the executor has restarted under its identifier. */
+    restarted,
     /** No answer: the run may exist already or start later. */
     unknown
 };
@@ -59,6 +61,8 @@
         return "other-life";
     case start_outcome::withheld:
         return "withheld";
+    case start_outcome::restarted:
+        return "restarted";
     case start_outcome::unknown:
         return "unknown";
     }
--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -6,6 +6,8 @@
 #include <azurelb/http/problem_response.hpp>
 #include <platform/executor_client.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -25,12 +27,27 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
-/** An incarnation of an executor without runs. It records the bodies of the report requests. */
+constexpr std::int64_t firstIncarnation{1};
+constexpr std::int64_t secondIncarnation{2};
+
+/** How a recording_executor answers. */
+struct executor_behaviour
+{
+    bool keepsConnections{true};
+    /** Holds requests without an answer. */
+    bool answers{true};
+    http::status reportStatus{http::status::ok};
+    std::int64_t startedUnixMs{firstIncarnation};
+};
+
+/** An incarnation of an executor without runs. It records the bodies of the requests. */
 class recording_executor
 {
 public:
-    recording_executor(asio::io_context &loop, const std::string &address, bool keepsConnections)
-        : m_keepsConnections{keepsConnections}
+    recording_executor(asio::io_context &loop, const std::string &address,
+                       const executor_behaviour &behaviour)
+        : m_loop{loop}
+        , m_behaviour{behaviour}
         , m_server{loop, address, http_limits{}, [this](const http_request &request) {
                        return answer(request);
                    }}
@@ -40,19 +57,31 @@
 
     ~recording_executor() { m_server.close(); }
 
+    /** Report requests. */
     std::vector<json::object> requests{};
+    std::vector<json::object> starts{};
 
 private:
     asio::awaitable<http_response> answer(const http_request &request)
     {
-        requests.push_back(json::parse(request.body()).as_object());
-        http_response made =
-            jsonResponse(http::status::ok, R"({"ClockMs":5,"Running":[],"EndedRuns":[],"born":1})");
-        made.keep_alive(m_keepsConnections);
+        const bool isStart = request.target() == "/azurelb/run-start";
+        (isStart ? starts : requests).push_back(json::parse(request.body()).as_object());
+        if (!m_behaviour.answers) {
+            asio::steady_timer never{m_loop, std::chrono::hours{1}};
+            co_await never.async_wait(asio::use_awaitable);
+        }
+        json::object body{{"ClockMs", 5},
+                          {"Running", json::array{}},
+                          {"EndedRuns", json::array{}},
+                          {"born", m_behaviour.startedUnixMs}};
+        http_response made = jsonResponse(isStart ? http::status::ok : m_behaviour.reportStatus,
+                                          json::serialize(body));
+        made.keep_alive(m_behaviour.keepsConnections);
         co_return made;
     }
 
-    bool m_keepsConnections;
+    asio::io_context &m_loop;
+    executor_behaviour m_behaviour;
     http_server m_server;
 };
 
@@ -62,12 +91,18 @@
     CPPUNIT_TEST(acknowledgesOnTheConnectionOfTheReport);
     CPPUNIT_TEST(doesNotAcknowledgeToAnotherIncarnation);
     CPPUNIT_TEST(acknowledgesToAnExecutorThatClosesConnections);
+    CPPUNIT_TEST(startsRunsOnTheIncarnationOfTheOrder);
+    CPPUNIT_TEST(startOrderDoesNotReachARestartedExecutor);
+    CPPUNIT_TEST(waitingStartOrderDoesNotReachARestartedExecutor);
+    CPPUNIT_TEST(startsRunsOnTheNewIncarnation);
+    CPPUNIT_TEST(startsRunsOnAnExecutorThatClosesConnections);
+    CPPUNIT_TEST(refusalOfTheReportIsTheOutcomeOfTheOrder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void acknowledgesOnTheConnectionOfTheReport()
     {
-        recording_executor executor{m_loop, m_port.text(), true};
+        recording_executor executor{m_loop, m_port.text(), {}};
         requestReports(3);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, 0));
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
@@ -81,10 +116,10 @@
     void doesNotAcknowledgeToAnotherIncarnation()
     {
         {
-            recording_executor former{m_loop, m_port.text(), true};
+            recording_executor former{m_loop, m_port.text(), {}};
             requestReports(2);
         }
-        recording_executor executor{m_loop, m_port.text(), true};
+        recording_executor executor{m_loop, m_port.text(), {}};
         requestReports(2);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, 0));
         CPPUNIT_ASSERT(!executor.requests.at(0).contains("ExpiresMs"));
@@ -93,14 +128,103 @@
 
     void acknowledgesToAnExecutorThatClosesConnections()
     {
-        recording_executor executor{m_loop, m_port.text(), false};
+        recording_executor executor{m_loop, m_port.text(), {.keepsConnections = false}};
         requestReports(2);
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
     }
 
+    void startsRunsOnTheIncarnationOfTheOrder()
+    {
+        recording_executor executor{m_loop, m_port.text(), {}};
+        for (int count = 0; count < 3; ++count)
+            CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::started);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, executor.starts.size());
+    }
+
+    /** The lease of the order is in the clock of the former incarnation. The new one would grant
+        the longest lease, which neither this owner nor the next one expects: the task runs twice.
+     */
+    void startOrderDoesNotReachARestartedExecutor()
+    {
+        {
+            recording_executor former{m_loop, m_port.text(), {}};
+            CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::started);
+        }
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = secondIncarnation}};
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::restarted);
+        CPPUNIT_ASSERT(executor.starts.empty());
+    }
+
+    /** The executor loses power while orders are in flight on all connections; further orders wait
+        for these and are sent on new ones. */
+    void waitingStartOrderDoesNotReachARestartedExecutor()
+    {
+        constexpr std::size_t orders{4};
+        std::vector<start_outcome> outcomes;
+        {
+            recording_executor former{m_loop, m_port.text(), {.answers = false}};
+            for (std::size_t count = 0; count < orders; ++count)
+                sendStart(firstIncarnation, outcomes);
+            CPPUNIT_ASSERT(runUntil(
+                m_loop, [&former] { return !former.requests.empty() || !former.starts.empty(); }));
+        }
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = secondIncarnation}};
+        CPPUNIT_ASSERT(runUntil(m_loop, [&outcomes] { return outcomes.size() == orders; }));
+        CPPUNIT_ASSERT(executor.starts.empty());
+        CPPUNIT_ASSERT(outcomes.back() == start_outcome::restarted);
+    }
+
+    void startsRunsOnTheNewIncarnation()
+    {
+        {
+            recording_executor former{m_loop, m_port.text(), {}};
+            CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::started);
+        }
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = secondIncarnation}};
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::restarted);
+        CPPUNIT_ASSERT(start(secondIncarnation) == start_outcome::started);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor.starts.size());
+    }
+
+    void startsRunsOnAnExecutorThatClosesConnections()
+    {
+        recording_executor executor{m_loop, m_port.text(), {.keepsConnections = false}};
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::started);
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::started);
+    }
+
+    void refusalOfTheReportIsTheOutcomeOfTheOrder()
+    {
+        recording_executor executor{
+            m_loop, m_port.text(), {.reportStatus = http::status::misdirected_request}};
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::other_incarnation);
+        CPPUNIT_ASSERT(executor.starts.empty());
+    }
+
 private:
     static constexpr std::int64_t acknowledged{7};
 
+    void sendStart(std::int64_t incarnation, std::vector<start_outcome> &outcomes)
+    {
+        start_order order;
+        order.executor = "e1";
+        order.task = {"aaaaaaaaaaaaaaaa", 0, 0, 0};
+        order.run = 1;
+        order.leaseEnd = milliseconds{3000};
+        order.startedUnixMs = incarnation;
+        m_client.start(
+            m_port.text(), order, [] { return true; },
+            [&outcomes](start_reply reply) { outcomes.push_back(reply.outcome); });
+    }
+
+    [[nodiscard]] start_outcome start(std::int64_t incarnation)
+    {
+        std::vector<start_outcome> outcomes;
+        sendStart(incarnation, outcomes);
+        CPPUNIT_ASSERT(runUntil(m_loop, [&outcomes] { return !outcomes.empty(); }));
+        return outcomes.front();
+    }
+
     [[nodiscard]] static std::int64_t lastSeen(const recording_executor &executor,
                                                std::size_t index)
     {
