Executor client: a start order reaches only the incarnation that it names

Cause: orders name an executor by its identifier, which a restarted executor keeps. Orders that waited behind two without an answer were sent on new connections after the restart. Their leases were in the clock of the former incarnation, so the new one granted the longest (MaxHoldMs, 10 s). The owner knew this from the registration on; the owner after it assumed 7.7 s and started the tasks elsewhere while they ran.

Ruled out: late execution, a later renewal.

Fix: an order names its incarnation, and a connection carries start orders only once a report on it has named the same one. A connection ends with its process, so an order can't reach another one. Outcome "restarted" places the task elsewhere at once.

--- a/src/azurelb/http/http_client.cpp
+++ b/src/azurelb/http/http_client.cpp
@@ -22,8 +22,15 @@
 {
     if (!isConnected())
         close();
-    if (!m_connection)
+    if (!m_connection) {
         m_connection = std::make_shared<internal::http_connection>(*m_loop, m_peer);
+        ++m_connectionNumber;
+    }
+    m_connection->call(std::move(request), timeouts, std::move(handler));
+}
+
+void http_client::callConnected(http_request request, http_timeouts timeouts, http_handler handler)
+{
     m_connection->call(std::move(request), timeouts, std::move(handler));
 }
 
--- a/src/azurelb/http/http_client.hpp
+++ b/src/azurelb/http/http_client.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <memory>
 
 namespace azurelb {
@@ -33,10 +34,18 @@
      */
     void call(http_request request, http_timeouts timeouts, http_handler handler);
 
+    /** As call(), but never opens a connection. Precondition: isConnected() has just returned
+        true. */
+    void callConnected(http_request request, http_timeouts timeouts, http_handler handler);
+
     /** Returns whether the next call will use the present connection. Precondition: no exchange is
         in progress. */
     [[nodiscard]] bool isConnected() const noexcept;
 
+    /** Returns the number of the present connection, which rises with each new one; 0 if there has
+        been none. */
+    [[nodiscard]] std::uint64_t connectionNumber() const noexcept { return m_connectionNumber; }
+
     /** Closes the connection and discards the handler of an exchange in progress. */
     void close() noexcept;
 
@@ -46,6 +55,7 @@
     boost::asio::io_context *m_loop;
     endpoint m_peer;
     std::shared_ptr<internal::http_connection> m_connection;
+    std::uint64_t m_connectionNumber{0};
 };
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/** Time without new runs for an executor that is unhealthy or rejected an order as malformed. */
+/** Time without new runs for an executor that is unhealthy, rejected an order as malformed or has
+    restarted and not registered yet. */
 constexpr milliseconds rejectionBackoff{1000};
 constexpr int fullPercent{100};
 /** Minimum time between two changes: executors report metrics of the last half second, so that an
@@ -217,7 +218,9 @@
     }
     if (outcome == start_outcome::full || outcome == start_outcome::expired)
         executor->suspendedUntil = now + noRoomBackoff;
-    else if (outcome == start_outcome::unhealthy || outcome == start_outcome::rejected)
+    else if (outcome == start_outcome::unhealthy || outcome == start_outcome::rejected
+             || (outcome == start_outcome::restarted
+                 && executor->info.startedUnixMs == order.startedUnixMs))
         executor->suspendedUntil = now + rejectionBackoff;
     dropAssignment(*executor, order.task, now);
 }
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(newOwnerWaitsForAnUnreachableIncarnation);
     CPPUNIT_TEST(leaseOfTheFormerClockLastsUpToTheLongestTerm);
     CPPUNIT_TEST(orderOfADroppedRunIsNotPending);
+    CPPUNIT_TEST(newOwnerDoesNotRepeatRunsOfARestartedExecutor);
+    CPPUNIT_TEST(orderThatMeetsARestartedExecutorGoesElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,6 +243,51 @@
         CPPUNIT_ASSERT(!scheduling.isStartPending(order));
     }
 
+    /** The executor restarts, gets orders before it registers, and is then cut off from the next
+        owner. A lease in the clock of its former incarnation would outlast what that owner
+        assumes, and the tasks would run twice. */
+    void newOwnerDoesNotRepeatRunsOfARestartedExecutor()
+    {
+        scheduling_options options;
+        options.maxLeaseTerm = milliseconds{10'000};
+        scheduler_simulation simulation{options};
+        simulation.setPeersIdentified(true);
+        simulation.setPlan([](const task_id &) {
+            return run_plan{milliseconds{20'000}, run_end::done};
+        });
+        for (const char *const each : {"e1", "e2"}) {
+            simulation.addExecutor(each);
+            simulation.executor(each).maxLease = options.maxLeaseTerm;
+        }
+        // The clock of the former incarnation is far ahead of that of the new one.
+        simulation.advance(milliseconds{20'000});
+        simulation.submit(makeJob(firstJob, 1));
+        simulation.advance(milliseconds{500});
+        const std::string used = simulation.executor("e1").running().empty() ? "e2" : "e1";
+        simulation.restartUnnoticed(used);
+        simulation.submit(makeJob(jobA, 4));
+        simulation.advance(milliseconds{1500});
+        simulation.replaceOwner();
+        simulation.setDisconnected(used, true);
+        simulation.advance(milliseconds{12'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, simulation.violations().size());
+        for (std::uint32_t index = 0; index < 4; ++index)
+            CPPUNIT_ASSERT(simulation.startsOf({jobA, 0, 0, index}) >= 1);
+    }
+
+    void orderThatMeetsARestartedExecutorGoesElsewhere()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, order.startedUnixMs);
+        addOther(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::restarted, at(10));
+        advance(scheduling, at(20));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"other"}, std::get<start_order>(orders.front()).executor);
+    }
+
 private:
     [[nodiscard]] static boot_time at(int millis)
     {
--- a/test/azurelb/scheduling/scheduler_fuzz_test.cpp
+++ b/test/azurelb/scheduling/scheduler_fuzz_test.cpp
@@ -52,8 +52,9 @@
 class command_sequence
 {
 public:
-    command_sequence()
+    explicit command_sequence(bool peersIdentified)
     {
+        m_simulation.setPeersIdentified(peersIdentified);
         m_simulation.config.teams.front().limit = {24'000, 0, 0};
         m_simulation.currentScheduler().apply(m_simulation.config);
         m_simulation.setPlan([](const task_id &task) {
@@ -194,15 +195,21 @@
 {
     CPPUNIT_TEST_SUITE(scheduler_fuzz_test);
     CPPUNIT_TEST(invariantsHoldUnderFaults);
+    CPPUNIT_TEST(invariantsHoldWhereOrdersReachOneIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void invariantsHoldUnderFaults()
+    void invariantsHoldUnderFaults() { checkInvariants(false); }
+
+    void invariantsHoldWhereOrdersReachOneIncarnation() { checkInvariants(true); }
+
+private:
+    static void checkInvariants(bool peersIdentified)
     {
-        const bool held = rc::check("invariants hold", [] {
+        const bool held = rc::check("invariants hold", [peersIdentified] {
             const auto commands = *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
                 rc::gen::pair(rc::gen::inRange(0, actionCount), rc::gen::inRange(0U, 100'000U)));
-            command_sequence sequence;
+            command_sequence sequence{peersIdentified};
             for (const auto &[what, argument] : commands) {
                 sequence.play(static_cast<action>(what), argument);
                 sequence.check();
--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -212,12 +212,14 @@
         owner.scheduling.markUnresponsive(id);
         return;
     }
+    const bool reachesKnown = !m_peersIdentified || entry->info.startedUnixMs == incarnationOf(id);
     std::optional<milliseconds> leaseEnd;
-    if (entry->contacted && !entry->unresponsive) {
+    if (entry->contacted && !entry->unresponsive && reachesKnown) {
         leaseEnd = owner.scheduling.executors().leaseEnd(*entry, m_now);
         owner.scheduling.executors().recordLease(*entry, *leaseEnd);
     }
-    const std::int64_t acknowledged = entry->unresponsive ? 0 : entry->lastStoredEnd;
+    const std::int64_t acknowledged =
+        entry->unresponsive || !reachesKnown ? 0 : entry->lastStoredEnd;
     const auto report = m_executors.at(id)->hold(owner.token, acknowledged, leaseEnd, m_now);
     if (!report)
         owner.fenced = true;
@@ -239,6 +241,10 @@
         owner.scheduling.applyStartOutcome(order, start_outcome::unknown, m_now);
         return;
     }
+    if (m_peersIdentified && order.startedUnixMs != incarnationOf(order.executor)) {
+        owner.scheduling.applyStartOutcome(order, start_outcome::restarted, m_now);
+        return;
+    }
     if (m_delayedOrders > 0) {
         --m_delayedOrders;
         m_delayedDeliveries.push_back(
--- a/test/azurelb/scheduling/scheduler_simulation.hpp
+++ b/test/azurelb/scheduling/scheduler_simulation.hpp
@@ -59,6 +59,9 @@
     /** Carries out the next count orders after the delay and does not answer them. */
     void delayOrders(unsigned count, std::chrono::milliseconds delay);
     void setStoreDown(bool down) { m_storeDown = down; }
+    /** Sets whether orders, leases and acknowledgements are withheld from an executor that has
+        restarted since its last report; if not, the new incarnation gets them. */
+    void setPeersIdentified(bool identified) { m_peersIdentified = identified; }
     void setPlan(std::function<run_plan(const task_id &)> plan) { m_plan = std::move(plan); }
 
     [[nodiscard]] boot_time now() const noexcept { return m_now; }
@@ -140,6 +143,7 @@
     unsigned m_delayedOrders{0};
     std::chrono::milliseconds m_delay{0};
     bool m_storeDown{false};
+    bool m_peersIdentified{false};
     std::vector<delayed_order> m_delayedDeliveries{};
     std::vector<late_registration> m_lateRegistrations{};
     std::function<run_plan(const task_id &)> m_plan;
--- a/test/support/fake_executor.cpp
+++ b/test/support/fake_executor.cpp
@@ -35,7 +35,7 @@
         return start_outcome::outdated;
     if (order.leaseEnd <= clock(now))
         return start_outcome::expired;
-    m_leaseEnd = std::max(m_leaseEnd, order.leaseEnd);
+    extendLease(order.leaseEnd, now);
     m_leaseHeld = true;
     m_running[order.task] = {order.run, now, plan};
     return start_outcome::started;
@@ -64,7 +64,7 @@
         return std::nullopt;
     m_token = token;
     if (leaseEnd)
-        m_leaseEnd = std::max(m_leaseEnd, *leaseEnd);
+        extendLease(*leaseEnd, now);
     m_leaseHeld = clock(now) < m_leaseEnd;
     const auto acknowledgedEnd =
         std::stable_partition(m_ended.begin(), m_ended.end(), [acknowledged](const auto &each) {
@@ -89,6 +89,11 @@
     return report;
 }
 
+void fake_executor::extendLease(milliseconds leaseEnd, boot_time now)
+{
+    m_leaseEnd = std::max(m_leaseEnd, std::min(leaseEnd, clock(now) + maxLease));
+}
+
 void fake_executor::end(const task_id &task, run_end how, boot_time now)
 {
     const active_run run = m_running.at(task);
--- a/test/support/fake_executor.hpp
+++ b/test/support/fake_executor.hpp
@@ -52,6 +52,8 @@
 
     /** Number of ended runs in one report. */
     std::size_t listedEnds{500};
+    /** Longest lease that it grants. */
+    std::chrono::milliseconds maxLease{6000};
 
     [[nodiscard]] const executor_registration &info() const noexcept { return m_info; }
     [[nodiscard]] const std::map<task_id, active_run> &running() const noexcept
@@ -69,6 +71,7 @@
 
 private:
     void end(const task_id &task, run_end how, boot_time now);
+    void extendLease(std::chrono::milliseconds leaseEnd, boot_time now);
 
     executor_registration m_info;
     double m_clockRate;
