Executor client: a lost connection is no sign of an executor that closes connections

After a connection that was lost behind its first report, the next request on a new one acknowledged ends and renewed the lease, although it may reach another incarnation.

--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST_SUITE(executor_client_test);
     CPPUNIT_TEST(acknowledgesOnTheConnectionOfTheReport);
     CPPUNIT_TEST(doesNotAcknowledgeToAnotherIncarnation);
+    CPPUNIT_TEST(doesNotAcknowledgeAfterARestartBehindTheFirstReport);
     CPPUNIT_TEST(acknowledgesToAnExecutorThatClosesConnections);
     CPPUNIT_TEST(startsRunsOnTheIncarnationOfTheOrder);
     CPPUNIT_TEST(startOrderDoesNotReachARestartedExecutor);
@@ -126,6 +127,20 @@
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
     }
 
+    /** The former incarnation has answered one report only, so that the connection is lost right
+        after a first report: acknowledged ends of the new one would be lost, too. */
+    void doesNotAcknowledgeAfterARestartBehindTheFirstReport()
+    {
+        {
+            recording_executor former{m_loop, m_port.text(), {}};
+            requestReports(1);
+        }
+        recording_executor executor{m_loop, m_port.text(), {}};
+        requestReports(1);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, 0));
+        CPPUNIT_ASSERT(!executor.requests.at(0).contains("ExpiresMs"));
+    }
+
     void acknowledgesToAnExecutorThatClosesConnections()
     {
         recording_executor executor{m_loop, m_port.text(), {.keepsConnections = false}};
