--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <azurelb/control/fwd.hpp>
+#include <azurelb/control/start_reply.hpp>
 #include <azurelb/scheduling/executor_report.hpp>
 #include <azurelb/scheduling/orders.hpp>
-#include <azurelb/scheduling/start_outcome.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -45,14 +45,6 @@
     executor_report report{};
 };
 
-/** Answer to a start order. */
-struct start_reply
-{
-    start_outcome outcome{start_outcome::unknown};
-    /** The executor's clock; empty if it did not answer. */
-    std::optional<std::chrono::milliseconds> clock{};
-};
-
 /**
  * Sends orders to executors, each with the owner's fencing token. Each handler runs exactly once,
  * on the event loop and never inside the call, unless disconnect() drops it. A call without an
