--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -96,6 +96,7 @@
                    return serve(request);
                }}
 {
+    m_model.maxLease = maxLease;
     m_server.start();
 }
 
--- a/test/soak/executor_endpoint.hpp
+++ b/test/soak/executor_endpoint.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -22,6 +23,9 @@
 class executor_endpoint
 {
 public:
+    /** Longest lease that an executor grants. */
+    static constexpr std::chrono::milliseconds maxLease{10'000};
+
     /** Returns the number of active runs of a task over all executors. */
     using run_counter = std::function<std::size_t(const task_id &)>;
 
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -61,7 +61,9 @@
     std::array<char, 17> id{};
     std::snprintf(id.data(), id.size(), "%08zx%08zx", draw(1U << 31U), draw(1U << 31U));
     plan.id = id.data();
-    plan.spec = std::to_string(100 + draw(1500));
+    // Some tasks outlast a takeover and the leases of the former owner.
+    const bool isLong = draw(8) == 0;
+    plan.spec = std::to_string(isLong ? 10'000 + draw(3000) : 100 + draw(1500));
     plan.tasks = static_cast<std::uint32_t>(1 + draw(6));
     plan.cancels = draw(10) == 0;
     m_audit.submitted(plan.id, plan.spec);
--- a/test/soak/soak_daemon.cpp
+++ b/test/soak/soak_daemon.cpp
@@ -1,5 +1,7 @@
 #include "soak_daemon.hpp"
 
+#include "executor_endpoint.hpp"
+
 #include <azurelb/http/endpoint.hpp>
 
 #include <csignal>
@@ -37,7 +39,8 @@
             "--vm_id=" + m_name, "--zone=zone-a", "--listen=" + m_callerPort.text(),
             "--readiness_listen=" + m_readinessPort.text(), "--relay_listen=" + m_relayPort.text(),
             "--store_endpoint=" + store, "--vm_service_endpoint=" + store, "--metrics_port=0",
-            "--shutdown_grace_s=3"});
+            "--shutdown_grace_s=3",
+            "--max_lease_ms=" + std::to_string(executor_endpoint::maxLease.count())});
 }
 
 void soak_daemon::signal(int number)
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -17,8 +17,9 @@
 constexpr milliseconds loopInterval{20};
 /** Lets the daemons read the configuration and discover each other before faults begin. */
 constexpr milliseconds startupTime{1500};
-/** Covers lease expiry, takeover and 20 jobs; every accepted job must end within it. */
-constexpr milliseconds recoveryTime{25'000};
+/** Covers the longest lease, takeover, 20 jobs and two runs of the longest task; every accepted job
+    must end within it. */
+constexpr milliseconds recoveryTime{45'000};
 constexpr milliseconds submitInterval{120};
 constexpr std::size_t maxActiveCallers{40};
 
@@ -29,7 +30,7 @@
 
 } // namespace
 
-const std::array<soak_scenario::fault, 15> soak_scenario::faultTypes{{
+const std::array<soak_scenario::fault, 16> soak_scenario::faultTypes{{
     {"kill", &soak_scenario::killDaemon},
     {"stop", &soak_scenario::terminateDaemon},
     {"pause", &soak_scenario::pauseDaemon},
@@ -45,6 +46,7 @@
     {"store-drops-history", &soak_scenario::dropStoreHistory},
     {"restart-executor", &soak_scenario::restartExecutorUnnoticed},
     {"change-configuration", &soak_scenario::changeConfigurationAndOwner},
+    {"recut-executor", &soak_scenario::recutExecutor},
 }};
 
 soak_scenario::soak_scenario(const soak_options &options)
@@ -166,7 +168,11 @@
 
 void soak_scenario::injectRandomFault()
 {
-    const fault &chosen = faultTypes.at(randomIndex(faultTypes.size()));
+    const auto only = std::find_if(faultTypes.begin(), faultTypes.end(), [this](const fault &each) {
+        return m_options.onlyFault == each.name;
+    });
+    const fault &chosen =
+        only == faultTypes.end() ? faultTypes.at(randomIndex(faultTypes.size())) : *only;
     m_faults += std::string{" "} + chosen.name;
     (this->*chosen.inject)();
 }
@@ -279,8 +285,23 @@
 {
     soak_executor &chosen = randomExecutor();
     endIncarnation(chosen);
-    m_store.state().put("servers/" + chosen.id,
-                        chosen.endpoint->registration(standin::toString(chosen.proxy->address())));
+    registerExecutor(chosen);
+}
+
+void soak_scenario::registerExecutor(const soak_executor &executor)
+{
+    m_store.state().put(
+        "servers/" + executor.id,
+        executor.endpoint->registration(standin::toString(executor.proxy->address())));
+}
+
+soak_daemon *soak_scenario::findOwner()
+{
+    const keyspace_item *const claim = m_store.state().find("azurelb/owner");
+    const std::string owner = claim ? claim->value.substr(0, claim->value.find('/')) : "";
+    const auto found = std::find_if(m_daemons.begin(), m_daemons.end(),
+                                    [&owner](const auto &each) { return each->name() == owner; });
+    return found == m_daemons.end() ? nullptr : found->get();
 }
 
 /** The executor registers late, so that orders reach the new incarnation before the owner knows of
@@ -289,33 +310,52 @@
 {
     soak_executor &chosen = randomExecutor();
     endIncarnation(chosen);
-    schedule(randomDuration(100, 1000), [this, &chosen] {
-        m_store.state().put(
-            "servers/" + chosen.id,
-            chosen.endpoint->registration(standin::toString(chosen.proxy->address())));
+    schedule(randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
+}
+
+/** The busiest executor restarts, registers late and is cut off, and the owner is killed meanwhile.
+    Orders for the former incarnation that reach the new one run under a lease that the next owner
+    does not expect. One at a time, since each change of the owner prolongs the wait for leases. */
+void soak_scenario::recutExecutor()
+{
+    const boot_time now = boot_clock::now();
+    if (now < m_recutUntil)
+        return;
+    soak_executor &chosen = *std::max_element(m_executors.begin(), m_executors.end(),
+                                              [](const auto &left, const auto &right) {
+                                                  return left.endpoint->model().running().size()
+                                                      < right.endpoint->model().running().size();
+                                              });
+    endIncarnation(chosen);
+    schedule(randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
+    const milliseconds cutAfter = randomDuration(700, 2000);
+    const milliseconds reconnectAfter = cutAfter + randomDuration(9000, 12'000);
+    m_recutUntil = now + reconnectAfter;
+    schedule(cutAfter, [this, &chosen] { setProxy(chosen, cutAll); });
+    schedule(reconnectAfter, [this, &chosen] { setProxy(chosen, noFault); });
+    schedule(cutAfter - randomDuration(0, 600), [this] {
+        if (soak_daemon *const owner = findOwner())
+            owner->signal(SIGKILL);
     });
 }
 
 /** Two daemons miss the answers that carry the change, and the owner is stopped within a second. */
 void soak_scenario::changeConfigurationAndOwner()
 {
-    const keyspace_item *const claim = m_store.state().find("azurelb/owner");
-    const std::string owner = claim ? claim->value.substr(0, claim->value.find('/')) : "";
-    const auto found = std::find_if(m_daemons.begin(), m_daemons.end(),
-                                    [&owner](const auto &each) { return each->name() == owner; });
+    soak_daemon *const owner = findOwner();
     for (int count = 0; count < 2; ++count) {
         soak_daemon &chosen = randomDaemon();
-        if (chosen.name() != owner)
+        if (&chosen != owner)
             chosen.setStoreFault(silenceExisting);
     }
     ++m_configVersion;
     writeConfiguration();
     const milliseconds pause = randomDuration(50, 1000);
-    if (found == m_daemons.end())
+    if (!owner)
         return;
-    schedule(pause, [daemon = found->get()] {
-        daemon->signal(SIGCONT);
-        daemon->signal(SIGTERM);
+    schedule(pause, [owner] {
+        owner->signal(SIGCONT);
+        owner->signal(SIGTERM);
     });
 }
 
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -28,6 +28,8 @@
     std::size_t daemons{4};
     std::size_t executors{8};
     std::chrono::milliseconds faultTime{10'000};
+    /** Name of the only fault to inject; empty for all of them. */
+    std::string onlyFault{};
 };
 
 /**
@@ -69,6 +71,9 @@
     void restartEndedDaemons();
     void schedule(std::chrono::milliseconds pause, std::function<void()> action);
     void endIncarnation(soak_executor &executor);
+    void registerExecutor(const soak_executor &executor);
+    /** Returns the daemon that holds the owner's key; nullptr if there is none. */
+    [[nodiscard]] soak_daemon *findOwner();
     void setProxy(soak_executor &executor, const std::string &fault);
     [[nodiscard]] soak_daemon &randomDaemon();
     [[nodiscard]] soak_executor &randomExecutor();
@@ -84,6 +89,7 @@
     void crashExecutor();
     void restartExecutorUnnoticed();
     void changeConfigurationAndOwner();
+    void recutExecutor();
     void cutExecutor();
     void silenceExecutorConnections();
     void makeStoreUnavailable();
@@ -91,7 +97,7 @@
     void loseCommitReplies();
     void dropStoreHistory();
 
-    static const std::array<fault, 15> faultTypes;
+    static const std::array<fault, 16> faultTypes;
 
     soak_options m_options;
     boost::asio::io_context m_loop{};
@@ -102,6 +108,8 @@
     std::vector<std::unique_ptr<soak_daemon>> m_daemons{};
     std::unique_ptr<soak_caller> m_callers{};
     std::int64_t m_configVersion{1};
+    /** When the executor of the last recutExecutor() is reachable again. */
+    boot_time m_recutUntil{};
     std::string m_faults{};
     /** Timers that end faults. */
     std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers{};
--- a/test/support/fake_executor.cpp
+++ b/test/support/fake_executor.cpp
@@ -8,6 +8,13 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+/** By how much the clock of a new incarnation is behind that of the former one, at least. */
+constexpr std::chrono::hours clockSetback{1};
+
+} // namespace
+
 fake_executor::fake_executor(const executor_registration &info, double clockRate, boot_time now)
     : m_info{info}
     , m_clockRate{clockRate}
@@ -16,8 +23,9 @@
 
 milliseconds fake_executor::clock(boot_time now) const
 {
-    return milliseconds{static_cast<milliseconds::rep>(
-        static_cast<double>((now - m_clockStart).count()) * m_clockRate)};
+    return m_clockBase
+        + milliseconds{static_cast<milliseconds::rep>(
+            static_cast<double>((now - m_clockStart).count()) * m_clockRate)};
 }
 
 start_outcome fake_executor::start(const start_order &order, std::int64_t token,
@@ -132,6 +140,7 @@
     m_token = 0;
     m_leaseEnd = milliseconds{0};
     m_clockStart = now;
+    m_clockBase = std::max(m_clockBase - clockSetback, milliseconds{0});
     ++m_info.startedUnixMs;
 }
 
--- a/test/support/fake_executor.hpp
+++ b/test/support/fake_executor.hpp
@@ -76,6 +76,7 @@
     executor_registration m_info;
     double m_clockRate;
     boot_time m_clockStart;
+    std::chrono::milliseconds m_clockBase{std::chrono::hours{24}};
     std::int64_t m_token{0};
     std::chrono::milliseconds m_leaseEnd{0};
     std::int64_t m_sequence{0};
