--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -488,13 +488,21 @@
     m_orders[vm] = {entry->pool, entry->executor, boot_clock::now(), false, wave, mayBeRepeated};
     m_progress[wave].inMaintenance.insert(vm);
     logEvent(event::vm_maintenance_ordered, {{"target", vm}, {"wave", wave}});
-    m_service.maintain(vm, wave,
+    m_service.maintain(vm, wave, sendPermission(),
                        [this, vm, alive = std::weak_ptr<bool>{m_alive}](vm_order_outcome outcome) {
                            if (!alive.expired())
                                handleOrderOutcome(vm, outcome);
                        });
 }
 
+/** An order may wait for its connection until another daemon is the owner. */
+vm_service::send_permission vm_manager::sendPermission() const
+{
+    return [this, alive = std::weak_ptr<bool>{m_alive}] {
+        return !alive.expired() && m_mayOrder();
+    };
+}
+
 void vm_manager::move(const std::string &vm, const std::string &pool)
 {
     const vm_entry *const entry = find(vm);
@@ -503,7 +511,7 @@
     reserve(vm, true);
     m_orders[vm] = {pool, entry->executor, boot_clock::now(), false, 0, false};
     logEvent(event::vm_move_ordered, {{"target", vm}, {"from", entry->pool}, {"pool", pool}});
-    m_service.move(vm, pool,
+    m_service.move(vm, pool, sendPermission(),
                    [this, vm, alive = std::weak_ptr<bool>{m_alive}](vm_order_outcome outcome) {
                        if (!alive.expired())
                            handleOrderOutcome(vm, outcome);
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -128,6 +128,7 @@
     void reserve(const std::string &vm, bool reserved);
     void maintain(const std::string &vm, std::int64_t wave);
     void move(const std::string &vm, const std::string &pool);
+    [[nodiscard]] vm_service::send_permission sendPermission() const;
     void handleOrderOutcome(const std::string &vm, vm_order_outcome outcome);
     [[nodiscard]] bool earlierOrdersExpired(const executor_entry *executor, boot_time now) const;
     [[nodiscard]] bool isStandby(const std::string &pool) const;
--- a/src/azurelb/control/vm_service.hpp
+++ b/src/azurelb/control/vm_service.hpp
@@ -54,6 +54,8 @@
 public:
     using list_handler = std::function<void(vm_listing &&)>;
     using order_handler = std::function<void(vm_order_outcome)>;
+    /** Returns whether an order may still be sent. */
+    using send_permission = std::function<bool()>;
 
     vm_service() = default;
     vm_service(const vm_service &) = delete;
@@ -65,11 +67,16 @@
 
     virtual void list(list_handler done) = 0;
 
-    /** Moves a VM to another pool. Ends all its runs; a new executor registers there later. */
-    virtual void move(const std::string &vm, const std::string &pool, order_handler done) = 0;
+    /** Moves a VM to another pool. Ends all its runs; a new executor registers there later. Asks
+       for the permission when the order has a connection; without it, nothing is sent, and the
+       outcome is vm_order_outcome::throttled. */
+    virtual void move(const std::string &vm, const std::string &pool, send_permission maySend,
+                      order_handler done) = 0;
 
-    /** Starts maintenance for a wave. Ends all runs of the VM; a new executor registers later. */
-    virtual void maintain(const std::string &vm, std::int64_t wave, order_handler done) = 0;
+    /** Starts maintenance for a wave. Ends all runs of the VM; a new executor registers later. Asks
+        for the permission as move() does. */
+    virtual void maintain(const std::string &vm, std::int64_t wave, send_permission maySend,
+                          order_handler done) = 0;
 };
 
 } // namespace azurelb
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -106,14 +106,17 @@
         if (!vms.empty())
             done({true, vms});
     }
-    void move(const std::string &vm, const std::string &pool, order_handler) override
+    void move(const std::string &vm, const std::string &pool, send_permission,
+              order_handler) override
     {
         ++movesTo[pool];
         ++movesOf[vm];
     }
-    void maintain(const std::string &vm, std::int64_t, order_handler done) override
+    void maintain(const std::string &vm, std::int64_t, send_permission maySend,
+                  order_handler done) override
     {
         maintained.push_back(vm);
+        mayMaintain = std::move(maySend);
         if (answersMaintenance)
             done(vm_order_outcome::done);
     }
@@ -123,6 +126,8 @@
     std::map<std::string, unsigned> movesTo{};
     std::map<std::string, unsigned> movesOf{};
     std::vector<std::string> maintained{};
+    /** Permission of the last order for maintenance. */
+    send_permission mayMaintain{};
     bool answersMaintenance{false};
 };
 
@@ -162,6 +167,7 @@
     CPPUNIT_TEST(newExecutorIsNoProofOfMaintenance);
     CPPUNIT_TEST(maintenanceInTheListIsProofOfIt);
     CPPUNIT_TEST(repeatedMaintenanceOrderEndsNoExecutor);
+    CPPUNIT_TEST(withholdsAMaintenanceOrderOfAnEndedOwner);
     CPPUNIT_TEST(firstPlanOfAWaveKnowsItsSequentialInterruptions);
     CPPUNIT_TEST(jobsReadBeforeTheirProgressAreNotRunAgain);
     CPPUNIT_TEST(endsOfJobsUnderAnUnreadConfigurationCount);
@@ -420,6 +426,17 @@
     /** Two long-running tasks of which one may be unavailable are on two VMs of the wave, and a
        third VM is empty. If the first plan doesn't know that, empty VMs take all of the wave's
        parallel maintenance, and the sequential interruptions begin seconds later. */
+    /** The order waits for a connection while another daemon becomes owner. Sent then, it would
+        reach the VM service after orders of the new owner. */
+    void withholdsAMaintenanceOrderOfAnEndedOwner()
+    {
+        startWave();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+        CPPUNIT_ASSERT(m_vms.mayMaintain());
+        m_owner.reset();
+        CPPUNIT_ASSERT(!m_vms.mayMaintain());
+    }
+
     void firstPlanOfAWaveKnowsItsSequentialInterruptions()
     {
         job_record job = makeJob(secondJob);
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -242,7 +242,7 @@
         const fixed_platform platform{m_loop, port.text(), status, body};
         vm_client client{m_loop, port.text(), "vm"};
         std::optional<vm_order_outcome> outcome;
-        client.maintain("m1", 1, [&outcome](vm_order_outcome answered) { outcome = answered; });
+        client.maintain("m1", 1, {}, [&outcome](vm_order_outcome answered) { outcome = answered; });
         CPPUNIT_ASSERT(runUntil(m_loop, [&outcome] { return outcome.has_value(); }));
         return *outcome;
     }
