--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -71,7 +71,7 @@
         left out once; the answer then comes without a wait. */
     virtual void report(const report_request &request, report_handler done) = 0;
     /** Sends the order only to the incarnation that it names; if another one answers, the outcome
-       is start_outcome::restarted. Asks for the permission right before the order is sent; without
+        is start_outcome::restarted. Asks for the permission right before the order is sent; without
         it, the outcome is start_outcome::withheld. */
     virtual void start(const std::string &address, const start_order &order,
                        send_permission maySend, start_handler done) = 0;
--- a/src/azurelb/control/vm_service.hpp
+++ b/src/azurelb/control/vm_service.hpp
@@ -68,8 +68,8 @@
     virtual void list(list_handler done) = 0;
 
     /** Moves a VM to another pool. Ends all its runs; a new executor registers there later. Asks
-       for the permission when the order has a connection; without it, nothing is sent, and the
-       outcome is vm_order_outcome::throttled. */
+        for the permission when the order has a connection; without it, nothing is sent, and the
+        outcome is vm_order_outcome::throttled. */
     virtual void move(const std::string &vm, const std::string &pool, send_permission maySend,
                       order_handler done) = 0;
 
