--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -22,6 +22,10 @@
         "fault-injection soak test of azurelb_platformd; AZURELB_BUILD is the build folder");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     (void)std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    if (!FLAGS_only.empty() && !azurelb::soak::soak_scenario::isFault(FLAGS_only)) {
+        std::fprintf(stderr, "no such fault: %s\n", FLAGS_only.c_str());
+        return 2;
+    }
     unsigned failed = 0;
     for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed) {
         azurelb::soak::soak_options options;
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -66,6 +66,8 @@
     plan.spec = std::to_string(isLong ? 10'000 + draw(3000) : 100 + draw(1500));
     plan.tasks = static_cast<std::uint32_t>(1 + draw(6));
     plan.cancels = draw(10) == 0;
+    if (isLong)
+        m_longJobs.insert(plan.id);
     m_audit.submitted(plan.id, plan.spec);
     ++m_active;
     asio::co_spawn(m_loop, follow(std::move(plan)), asio::detached);
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
     /** Number of jobs still being submitted or polled. */
     [[nodiscard]] std::size_t activeCount() const noexcept { return m_active; }
 
+    /** Returns whether the job's tasks outlast a takeover. */
+    [[nodiscard]] bool hasLongTasks(const job_id &job) const { return m_longJobs.contains(job); }
+
 private:
     /** The status is 0 if no answer arrived. */
     struct call_answer
@@ -58,6 +62,7 @@
     run_audit &m_audit;
     std::mt19937 m_random;
     std::size_t m_active{0};
+    std::set<job_id> m_longJobs{};
 };
 
 } // namespace azurelb::soak
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -17,9 +17,11 @@
 constexpr milliseconds loopInterval{20};
 /** Lets the daemons read the configuration and discover each other before faults begin. */
 constexpr milliseconds startupTime{1500};
-/** Covers the longest lease, takeover, 20 jobs and two runs of the longest task; every accepted job
-    must end within it. */
-constexpr milliseconds recoveryTime{45'000};
+/** Covers lease expiry, takeover and 20 jobs; every accepted job with short tasks must end within
+    it. */
+constexpr milliseconds recoveryTime{25'000};
+/** Covers two runs of the longest task in addition; every accepted job must end within it. */
+constexpr milliseconds longRecoveryTime{45'000};
 constexpr milliseconds submitInterval{120};
 constexpr std::size_t maxActiveCallers{40};
 
@@ -73,6 +75,12 @@
         std::make_unique<soak_caller>(m_loop, std::move(daemonAddresses), m_audit, m_options.seed);
 }
 
+bool soak_scenario::isFault(const std::string &name)
+{
+    return std::any_of(faultTypes.begin(), faultTypes.end(),
+                       [&name](const fault &each) { return name == each.name; });
+}
+
 void soak_scenario::addExecutors()
 {
     const auto countRuns = [this](const task_id &task) {
@@ -134,13 +142,23 @@
     runFor(startupTime, false);
     runFor(m_options.faultTime, true);
     clearFaults();
-    const boot_time latest = boot_clock::now() + recoveryTime;
-    while (boot_clock::now() < latest && m_callers->activeCount() > 0)
-        runFor(milliseconds{200}, false);
+    const boot_time clearedAt = boot_clock::now();
+    awaitJobs(clearedAt + recoveryTime);
+    for (const job_id &job : m_audit.unfinishedJobs()) {
+        if (!m_callers->hasLongTasks(job))
+            m_audit.addViolation("an accepted job with short tasks has not ended: " + job);
+    }
+    awaitJobs(clearedAt + longRecoveryTime);
     for (const job_id &job : m_audit.unfinishedJobs())
         m_audit.addViolation("an accepted job has not ended: " + job);
 }
 
+void soak_scenario::awaitJobs(boot_time latest)
+{
+    while (boot_clock::now() < latest && m_callers->activeCount() > 0)
+        runFor(milliseconds{200}, false);
+}
+
 void soak_scenario::runFor(milliseconds time, bool withFaults)
 {
     const boot_time end = boot_clock::now() + time;
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -41,6 +41,8 @@
 public:
     explicit soak_scenario(const soak_options &options);
 
+    [[nodiscard]] static bool isFault(const std::string &name);
+
     void run();
 
     [[nodiscard]] const run_audit &audit() const noexcept { return m_audit; }
@@ -66,6 +68,8 @@
     void putOddEntries();
     void writeConfiguration();
     void runFor(std::chrono::milliseconds time, bool withFaults);
+    /** Runs without faults until all callers have finished, at most until the given time. */
+    void awaitJobs(boot_time latest);
     void injectRandomFault();
     void clearFaults();
     void restartEndedDaemons();
