Log: ask whether a line would be written before its fields are built

Lines on starts and ends of runs are written up to 400 times a second; above that, their strings were built and dropped. mayLog() answers before, and counts the line as left out.

Test: tellsWhetherALineWouldBeWritten in line_test.

--- a/src/azurelb/log/log.cpp
+++ b/src/azurelb/log/log.cpp
@@ -72,6 +72,12 @@
     }
 };
 
+severity &minSeverity()
+{
+    static severity level{severity::debug};
+    return level;
+}
+
 std::string &vmName()
 {
     static std::string name;
@@ -122,6 +128,7 @@
 {
     namespace expressions = boost::log::expressions;
     vmName() = options.vm;
+    minSeverity() = options.minSeverity;
     boost::log::add_common_attributes();
     using output_sink = boost::log::sinks::synchronous_sink<output_backend>;
     auto sink = boost::make_shared<output_sink>(boost::make_shared<output_backend>());
@@ -155,6 +162,16 @@
     sink.push_record(std::move(record));
 }
 
+bool mayLog(event id)
+{
+    if (catalogueEntry(id).level < minSeverity())
+        return false;
+    const bool hasRoom = rateLimiter().hasRoom(id, std::chrono::steady_clock::now());
+    if (!hasRoom)
+        rateLimiter().countDropped(id);
+    return hasRoom;
+}
+
 void setLogBuffering(bool on)
 {
     processBuffer().setBuffering(on);
--- a/src/azurelb/log/log.hpp
+++ b/src/azurelb/log/log.hpp
@@ -40,4 +40,8 @@
  */
 void logEvent(event id, std::initializer_list<field> fields = {});
 
+/** Returns whether a line of the event would be written now, and otherwise counts it as left out.
+    Ask before the fields of a frequent line are built. */
+[[nodiscard]] bool mayLog(event id);
+
 } // namespace azurelb
--- a/src/azurelb/log/log_rate_limiter.cpp
+++ b/src/azurelb/log/log_rate_limiter.cpp
@@ -24,6 +24,13 @@
     return {true, std::exchange(window.droppedLines, 0)};
 }
 
+bool log_rate_limiter::hasRoom(event id, time_point now) const
+{
+    const auto found = m_windows.find(static_cast<int>(id));
+    return found == m_windows.end() || found->second.lines < m_maxLinesPerSecond
+        || now - found->second.windowStart >= std::chrono::seconds{1};
+}
+
 void log_rate_limiter::countDropped(event id)
 {
     ++m_windows[static_cast<int>(id)].droppedLines;
--- a/src/azurelb/log/log_rate_limiter.hpp
+++ b/src/azurelb/log/log_rate_limiter.hpp
@@ -24,7 +24,10 @@
 
     [[nodiscard]] decision admit(event id, time_point now);
 
-    /** Counts an admitted line that could not be written. */
+    /** Returns whether admit() would permit a line. */
+    [[nodiscard]] bool hasRoom(event id, time_point now) const;
+
+    /** Counts a line that was not written. */
     void countDropped(event id);
 
 private:
--- a/test/azurelb/log/line_test.cpp
+++ b/test/azurelb/log/line_test.cpp
@@ -22,6 +22,7 @@
 {
     CPPUNIT_TEST_SUITE(line_test);
     CPPUNIT_TEST(limitsEachEventAndCountsDroppedLines);
+    CPPUNIT_TEST(tellsWhetherALineWouldBeWritten);
     CPPUNIT_TEST(dropsLinesInsteadOfBlockingOnAStalledReader);
     CPPUNIT_TEST(collectsLinesUntilAWarning);
     CPPUNIT_TEST(writesWhatDoesNotFitIntoOneWrite);
@@ -42,6 +43,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, later.droppedLines);
     }
 
+    /** Frequent lines are built only if they will be written, and count as dropped otherwise. */
+    void tellsWhetherALineWouldBeWritten()
+    {
+        log_rate_limiter limiter{1};
+        const time_point now{std::chrono::seconds{100}};
+        CPPUNIT_ASSERT(limiter.hasRoom(event::job_accepted, now));
+        CPPUNIT_ASSERT(limiter.admit(event::job_accepted, now).write);
+        CPPUNIT_ASSERT(!limiter.hasRoom(event::job_accepted, now));
+        CPPUNIT_ASSERT(limiter.hasRoom(event::job_refused, now));
+        limiter.countDropped(event::job_accepted);
+        const time_point later = now + std::chrono::seconds{1};
+        CPPUNIT_ASSERT(limiter.hasRoom(event::job_accepted, later));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             limiter.admit(event::job_accepted, later).droppedLines);
+    }
+
     void dropsLinesInsteadOfBlockingOnAStalledReader()
     {
         std::array<int, 2> ends{};
