Logs: each end, each repeated start and its reason have a line

An end as done had no line, and line 910 named neither incarnation nor lease, nor why a task was started again.

Now: 910 has born and lease_end_ms, and for a repeated start its number, the former run and why that no longer counts. 915 names the runs that were given up without a reported end, with the age of the knowledge; 916 the ends as done of a report, 918 ends that count for nothing, 919 reports of a former incarnation, 926 what an executor lists after a takeover. 913, 914 and 925 have the incarnation. Lines name at most 20 runs (910: 100), as one of over 4,095 bytes is cut off and lost its last fields; further runs follow in further lines. Lines on ends come before those on the starts that they permit. Counters for 915, 918 and 919.

No decision reads the new fields (task_entry::former, start_order::former).

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -51,6 +51,8 @@
 /** Greatest difference between an executor's clock in an answer and the one that is expected from
     its last report: the rate is off by 2 % at most, and both may be held up on their way. */
 constexpr milliseconds clockTolerance{1000};
+/** Starts in one log line, which is cut off at 4,095 bytes. */
+constexpr std::size_t maxStartsPerLine{100};
 /** Number of run numbers for each owner; the token forms the upper bits. */
 constexpr run_number runsPerOwner{run_number{1} << 24U};
 
@@ -71,6 +73,25 @@
     return std::any_of(runs.begin(), runs.end(), isPaced) ? pacedReportWait : runningReportWait;
 }
 
+/** Returns whether two starts are logged in one line: of one step and executor, for the same
+    reason. */
+bool isOnSameLine(const start_order &left, const start_order &right)
+{
+    return left.executor == right.executor && left.startedUnixMs == right.startedUnixMs
+        && left.leaseEnd == right.leaseEnd && left.task.job == right.task.job
+        && left.task.occurrence == right.task.occurrence && left.task.step == right.task.step
+        && left.former.reason == right.former.reason && left.former.starts == right.former.starts
+        && (left.former.run == 0) == (right.former.run == 0);
+}
+
+template <typename Number>
+void append(std::string &list, Number number)
+{
+    if (!list.empty())
+        list += ',';
+    list += std::to_string(number);
+}
+
 std::string incarnationKey(const executor_id &id, std::int64_t born)
 {
     return id + '/' + std::to_string(born);
@@ -297,9 +318,16 @@
     callAfter(m_advanceTimer, m_passInterval, m_alive, [this] { advance(); });
 }
 
+void owner::recordNotices()
+{
+    for (const scheduling_notice &each : m_scheduler.takeNotices())
+        m_services.metrics.record(each);
+}
+
 void owner::advance()
 {
     m_advanceScheduled = false;
+    recordNotices();
     if (!permits(order_kind::stop))
         return;
     const auto begun = std::chrono::steady_clock::now();
@@ -307,10 +335,10 @@
     updateHold(now);
     m_scheduler.advance(now, unixOffset(), m_services.leaseState().confirmedAt,
                         m_heldFor ? placement_mode::suspended : placement_mode::allowed);
+    // Lines on ends and given-up runs come before those on the starts that they permit.
+    recordNotices();
     sendOrders();
     retireEndedExecutors();
-    for (const scheduling_notice &each : m_scheduler.takeNotices())
-        m_services.metrics.record(each);
     m_writer.scheduleFlush();
     const auto spent = std::chrono::duration_cast<milliseconds>(
         (std::chrono::steady_clock::now() - begun) * minIdleFactor);
@@ -347,23 +375,46 @@
     const auto *const first = std::get_if<start_order>(&orders[index]);
     if (!first)
         return index + 1;
-    const task_id &task = first->task;
-    std::string indexes = std::to_string(task.index);
-    std::string runs = std::to_string(first->run);
-    for (++index; index < orders.size(); ++index) {
+    const std::size_t begin = index;
+    for (++index; index < orders.size() && index - begin < maxStartsPerLine; ++index) {
         const auto *const next = std::get_if<start_order>(&orders[index]);
-        if (!next || next->executor != first->executor || next->task.job != task.job
-            || next->task.occurrence != task.occurrence || next->task.step != task.step)
+        if (!next || !isOnSameLine(*first, *next))
             break;
-        indexes += ',' + std::to_string(next->task.index);
-        runs += ',' + std::to_string(next->run);
     }
-    logEvent(event::run_ordered,
-             {{"task", toString(task)},
-              {"indexes", indexes},
-              {"run", runs},
-              {"executor", first->executor},
-              {"token", m_token}});
+    if (!mayLog(event::run_ordered))
+        return index;
+    std::string indexes;
+    std::string runs;
+    std::string formerRuns;
+    for (std::size_t each = begin; each < index; ++each) {
+        const auto &order = std::get<start_order>(orders[each]);
+        append(indexes, order.task.index);
+        append(runs, order.run);
+        if (order.former.run != 0)
+            append(formerRuns, order.former.run);
+    }
+    const former_run &former = first->former;
+    if (former.reason == release_reason::none)
+        logEvent(event::run_ordered,
+                 {{"task", toString(first->task)},
+                  {"indexes", indexes},
+                  {"run", runs},
+                  {"executor", first->executor},
+                  {"token", m_token},
+                  {"born", first->startedUnixMs},
+                  {"lease_end_ms", first->leaseEnd.count()}});
+    else
+        logEvent(event::run_ordered,
+                 {{"task", toString(first->task)},
+                  {"indexes", indexes},
+                  {"run", runs},
+                  {"executor", first->executor},
+                  {"token", m_token},
+                  {"born", first->startedUnixMs},
+                  {"lease_end_ms", first->leaseEnd.count()},
+                  {"start", former.starts + 1},
+                  {"former", toString(former.reason)},
+                  {"former_run", formerRuns}});
     return index;
 }
 
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -147,6 +147,7 @@
     void storeWave(const wave_entry &wave, const wave_progress &progress);
     void handleWaveNotStored(std::int64_t number, const keyspace_commit &outcome);
     void removeExpiredJobs();
+    void recordNotices();
     [[nodiscard]] bool permits(order_kind kind);
     /** Checks whether starts must wait for an outdated input, and logs when that changes. */
     void updateHold(boot_time now);
--- a/src/azurelb/control/owner_metrics.cpp
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -8,6 +8,10 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
+#include <algorithm>
+#include <functional>
+#include <span>
+#include <string>
 #include <vector>
 
 namespace azurelb {
@@ -17,12 +21,39 @@
 /** Histogram buckets in seconds; job objectives lie between 1 and 20 s. */
 const std::vector<double> bucketBoundsS{0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 13, 21};
 constexpr double millisPerSecond{1000};
+/** Runs in one log line, which is cut off at 4,095 bytes. */
+constexpr std::size_t maxRunsPerLine{20};
 
 double inSeconds(std::chrono::milliseconds time)
 {
     return static_cast<double>(time.count()) / millisPerSecond;
 }
 
+/** Returns TASK:RUN of each run, separated by commas. */
+std::string listOf(std::span<const task_run> runs)
+{
+    std::string list;
+    for (const task_run &each : runs) {
+        if (!list.empty())
+            list += ',';
+        list += toString(each.task) + ':' + std::to_string(each.run);
+    }
+    return list;
+}
+
+/** Calls the function with the list of each line, at least once. */
+void forEachLine(event id, const std::vector<task_run> &runs,
+                 const std::function<void(const std::string &list)> &write)
+{
+    std::span<const task_run> left{runs};
+    do {
+        const auto line = left.first(std::min(left.size(), maxRunsPerLine));
+        if (mayLog(id))
+            write(listOf(line));
+        left = left.subspan(line.size());
+    } while (!left.empty());
+}
+
 } // namespace
 
 owner_metrics::owner_metrics(metrics &registry)
@@ -66,13 +97,87 @@
              {{"task", toString(notice.task)},
               {"run", notice.run},
               {"end", toString(notice.end)},
-              {"executor", notice.executor}});
+              {"executor", notice.executor},
+              {"born", notice.startedUnixMs},
+              {"number", notice.number}});
     m_registry
         .counter("azurelb_runs_interrupted_total", "Runs that did not complete their task.",
                  {{"end", std::string{toString(notice.end)}}})
         .Increment();
 }
 
+void owner_metrics::write(const ends_done_notice &notice)
+{
+    forEachLine(event::ends_done, notice.runs, [&notice](const std::string &list) {
+        logEvent(event::ends_done,
+                 {{"executor", notice.executor},
+                  {"born", notice.startedUnixMs},
+                  {"up_to", notice.lastNumber},
+                  {"runs", list}});
+    });
+}
+
+void owner_metrics::write(const end_not_counted_notice &notice)
+{
+    logEvent(event::end_not_counted,
+             {{"task", toString(notice.end.task)},
+              {"run", notice.end.run},
+              {"end", toString(notice.end.end)},
+              {"executor", notice.executor},
+              {"born", notice.startedUnixMs},
+              {"number", notice.end.sequence},
+              {"reason", notice.reason}});
+    m_registry
+        .counter("azurelb_ends_not_counted_total", "Reported ends of runs that count for nothing.",
+                 {{"reason", std::string{notice.reason}}})
+        .Increment();
+}
+
+void owner_metrics::write(const report_not_applied_notice &notice)
+{
+    logEvent(event::report_not_applied,
+             {{"executor", notice.executor},
+              {"born", notice.startedUnixMs},
+              {"known_born", notice.knownStartedUnixMs},
+              {"reason", "former incarnation"}});
+    m_registry
+        .counter("azurelb_reports_not_applied_total",
+                 "Reports of former incarnations of executors, which were ignored.")
+        .Increment();
+}
+
+void owner_metrics::write(const runs_given_up_notice &notice)
+{
+    const std::string reportAge =
+        notice.reportAge ? std::to_string(notice.reportAge->count()) : std::string{"none"};
+    forEachLine(event::run_given_up, notice.runs, [&](const std::string &list) {
+        logEvent(event::run_given_up,
+                 {{"executor", notice.executor},
+                  {"born", notice.startedUnixMs},
+                  {"reason", toString(notice.reason)},
+                  {"report_age_ms", reportAge},
+                  {"lease_over_ms", notice.leaseOver.count()},
+                  {"runs", list}});
+    });
+    m_registry
+        .counter("azurelb_runs_given_up_total",
+                 "Runs that count as ended although their executor did not report their end.",
+                 {{"reason", std::string{toString(notice.reason)}}})
+        .Increment(static_cast<double>(notice.runs.size()));
+}
+
+void owner_metrics::write(const earlier_runs_listed_notice &notice)
+{
+    forEachLine(event::earlier_runs_listed, notice.running, [&notice](const std::string &list) {
+        logEvent(event::earlier_runs_listed,
+                 {{"executor", notice.executor},
+                  {"born", notice.startedUnixMs},
+                  {"ended", notice.ended},
+                  {"first_end", notice.firstEnd},
+                  {"running", list}});
+    });
+}
+
 void owner_metrics::write(const executor_restarted_notice &notice)
 {
     logEvent(event::executor_restarted,
@@ -88,7 +193,8 @@
 
 void owner_metrics::write(const earlier_leases_over_notice &notice)
 {
-    logEvent(event::earlier_leases_over, {{"executor", notice.executor}});
+    logEvent(event::earlier_leases_over,
+             {{"executor", notice.executor}, {"born", notice.startedUnixMs}});
     m_registry
         .counter("azurelb_executors_unheard_total",
                  "Executors of earlier owners that did not answer before their leases ended.")
@@ -97,7 +203,8 @@
 
 void owner_metrics::write(const unread_job_notice &notice)
 {
-    logEvent(event::run_undecided, {{"executor", notice.executor}, {"job", notice.job}});
+    logEvent(event::run_undecided,
+             {{"executor", notice.executor}, {"job", notice.job}, {"born", notice.startedUnixMs}});
     m_registry
         .counter("azurelb_runs_undecided_total",
                  "Reports of runs of jobs that the owner had not read yet.")
--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -31,8 +31,11 @@
     if (!executor)
         return;
     if (isOtherIncarnation(*executor, report.startedUnixMs)) {
-        if (report.startedUnixMs == executor->formerStartedUnixMs)
+        if (report.startedUnixMs == executor->formerStartedUnixMs) {
+            m_notices.emplace_back(
+                report_not_applied_notice{id, report.startedUnixMs, executor->info.startedUnixMs});
             return;
+        }
         beginIncarnation(*executor, report.startedUnixMs, now);
     }
     executor->info.startedUnixMs = report.startedUnixMs;
@@ -51,11 +54,22 @@
         && std::none_of(report.ended.begin(), report.ended.end(), [executor](const auto &each) {
                                return each.sequence > executor->lastProcessedEnd;
                            });
-    executor->fullyReported = executor->fullyReported || endsKnown;
+    if (endsKnown && !std::exchange(executor->fullyReported, true) && executor->inherited)
+        noteEarlierRuns(*executor, report);
     reconcileUnlistedRuns(*executor, report, {askedAt, endsKnown}, now);
     throttleBackfill(*executor, now);
 }
 
+void scheduler::noteEarlierRuns(const executor_entry &executor, const executor_report &report)
+{
+    earlier_runs_listed_notice added{executor.info.id, executor.info.startedUnixMs};
+    for (const reported_run &each : report.running)
+        added.running.push_back({each.task, each.run});
+    added.ended = report.ended.size();
+    added.firstEnd = report.ended.empty() ? 0 : report.ended.front().sequence;
+    m_notices.emplace_back(std::move(added));
+}
+
 void scheduler::applyRunsAndEnds(executor_entry &executor, const executor_report &report,
                                  boot_time now)
 {
@@ -116,37 +130,52 @@
     if (found != unread.end())
         return found->reportedAt < m_jobsReadAt;
     unread.push_back({id, now});
-    m_notices.emplace_back(unread_job_notice{executor.info.id, id});
+    m_notices.emplace_back(unread_job_notice{executor.info.id, id, executor.info.startedUnixMs});
     return false;
 }
 
 void scheduler::applyReportedEnds(executor_entry &executor, const executor_report &report,
                                   boot_time now)
 {
+    ends_done_notice applied{executor.info.id, executor.info.startedUnixMs};
     for (const ended_run &each : report.ended) {
         if (each.sequence <= executor.lastProcessedEnd)
             continue;
         if (!isDecided(executor, each.task.job, now))
-            return;
+            break;
         executor.lastProcessedEnd = each.sequence;
-        applyEnd(executor, each, now);
+        if (applyEnd(executor, each, now) && each.end == run_end::done)
+            applied.runs.push_back({each.task, each.run});
     }
+    if (applied.runs.empty())
+        return;
+    applied.lastNumber = executor.lastProcessedEnd;
+    m_notices.emplace_back(std::move(applied));
 }
 
-void scheduler::applyEnd(executor_entry &executor, const ended_run &end, boot_time now)
+bool scheduler::applyEnd(executor_entry &executor, const ended_run &end, boot_time now)
 {
-    if (std::erase(executor.lapsedRuns, lapsed_run{end.task, end.run}) != 0)
-        return;
+    const auto addUncounted = [&](std::string_view reason) {
+        m_notices.emplace_back(
+            end_not_counted_notice{executor.info.id, executor.info.startedUnixMs, end, reason});
+    };
+    if (std::erase(executor.lapsedRuns, lapsed_run{end.task, end.run}) != 0) {
+        addUncounted("lease-over");
+        return false;
+    }
     assignment *const held = m_executors.find(executor.info.id, end.task);
     const bool isAssigned = held && held->run == end.run;
     if (isAssigned) {
         m_jobs.recordCheckpoint(end.task, end.checkpoint);
-        dropAssignment(executor, end.task, now);
+        dropAssignment(executor, end.task, release_reason::ended, now);
     }
     updateFailureCount(executor, end, now);
     const end_effect effect = m_jobs.applyEnd(end, executor.info.id, now);
     if (end.end != run_end::done)
-        m_notices.emplace_back(run_ended_notice{end.task, end.run, end.end, executor.info.id});
+        m_notices.emplace_back(run_ended_notice{end.task, end.run, end.end, executor.info.id,
+                                                executor.info.startedUnixMs, end.sequence});
+    else if (effect == end_effect::none)
+        addUncounted(uncountedReason(end.task));
     if (effect == end_effect::job_failed || effect == end_effect::job_completed) {
         addJobEndNotice(end.task.job, now);
         stopRunsOf(end.task.job, now);
@@ -159,6 +188,18 @@
         if (run && run->phase != assignment_phase::stopping)
             stopRun(*other, end.task, *run, stop_reason::not_wanted, now);
     }
+    return effect != end_effect::none;
+}
+
+std::string_view scheduler::uncountedReason(const task_id &task)
+{
+    const job_entry *const job = m_jobs.find(task.job);
+    if (!job)
+        return "unknown-job";
+    if (isFinal(job->state))
+        return "job-over";
+    const task_entry *const entry = m_jobs.find(task);
+    return entry && entry->done ? "task-done" : "older-run";
 }
 
 void scheduler::updateFailureCount(executor_entry &executor, const ended_run &end, boot_time now)
@@ -211,7 +252,7 @@
 void scheduler::adoptRun(executor_entry &executor, const reported_run &run, boot_time now)
 {
     job_entry *const job = m_jobs.find(run.task.job);
-    const task_entry *const task = m_jobs.find(run.task);
+    task_entry *const task = m_jobs.find(run.task);
     assignment held;
     held.run = run.run;
     if (job && run.task.step < job->record.steps.size())
@@ -220,6 +261,8 @@
     held.requestedAt = now;
     held.confirmedAt = now;
     assignment &added = m_executors.assign(executor, run.task, std::move(held));
+    if (task)
+        ++task->former.starts;
     const bool wanted = job && task && !isFinal(job->state) && !task->done && !task->assigned;
     if (wanted)
         m_jobs.assign(run.task, executor.info.id);
@@ -247,7 +290,7 @@
             stopRun(executor, task, held, stop_reason::start_unconfirmed, now);
     }
     for (const task_id &task : ended)
-        dropAssignment(executor, task, now);
+        dropAssignment(executor, task, release_reason::not_listed, now);
 }
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -4,6 +4,7 @@
 #include <azurelb/jobs/job_record.hpp>
 #include <azurelb/jobs/job_state.hpp>
 #include <azurelb/keyspace/fwd.hpp>
+#include <azurelb/scheduling/former_run.hpp>
 #include <azurelb/scheduling/fwd.hpp>
 
 #include <cstddef>
@@ -26,6 +27,9 @@
     executor_id lastFailedOn{};
     /** Runs that were stopped as stalled. Not stored. */
     std::uint32_t stalledRuns{0};
+    /** Its last run that this owner has known of and that has been given up or has ended. Not
+        stored. */
+    former_run former{};
     std::string checkpoint{};
     executor_id executor{};
 };
--- a/src/azurelb/scheduling/orders.hpp
+++ b/src/azurelb/scheduling/orders.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azurelb/jobs/task_id.hpp>
+#include <azurelb/scheduling/former_run.hpp>
 #include <azurelb/scheduling/fwd.hpp>
 #include <azurelb/scheduling/stop_reason.hpp>
 
@@ -25,6 +26,8 @@
     /** Incarnation for which the order is meant, and in whose clock leaseEnd is: its start time in
         Unix milliseconds; 0 if unknown. */
     std::int64_t startedUnixMs{0};
+    /** The run of the task before this one; for the log only. */
+    former_run former{};
 };
 
 /** Stops a run. An executor that receives the stop before the start rejects the start. */
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -177,7 +177,9 @@
         }
         for (std::size_t placed = before; placed < m_orders.size(); ++placed) {
             const auto &order = std::get<start_order>(m_orders[placed]);
-            dropAssignment(*m_executors.find(order.executor), order.task, now);
+            dropAssignment(*m_executors.find(order.executor), order.task,
+                           release_reason::not_started, now);
+            m_jobs.find(order.task)->former = order.former;
         }
         m_orders.resize(before);
         for (candidate *const each : used)
@@ -259,9 +261,13 @@
     m_jobs.assign(task, executor.info.id);
     const milliseconds leaseEnd = m_executors.leaseEnd(executor, now);
     m_executors.recordLease(executor, leaseEnd);
-    m_orders.emplace_back(start_order{executor.info.id, task, run, record.spec,
-                                      m_jobs.find(task)->checkpoint, leaseEnd,
-                                      executor.info.startedUnixMs});
+    task_entry &entry = *m_jobs.find(task);
+    former_run former = entry.former;
+    if (former.reason == release_reason::none && step.job->inherited)
+        former = {entry.lastEndedRun, release_reason::earlier_owner, former.starts};
+    m_orders.emplace_back(start_order{executor.info.id, task, run, record.spec, entry.checkpoint,
+                                      leaseEnd, executor.info.startedUnixMs, former});
+    ++entry.former.starts;
 }
 
 std::unordered_map<std::string, pool_load> scheduler::poolLoads(boot_time now) const
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -128,7 +128,7 @@
         held.stopSentAt = {};
     }
     for (const task_id &task : ended)
-        dropAssignment(executor, task, now);
+        dropAssignment(executor, task, release_reason::executor_restarted, now);
     m_notices.emplace_back(executor_restarted_notice{executor.info.id, startedUnixMs, ended.size(),
                                                      executor.assignments.size()});
     m_endedIncarnations.push_back({executor.info.id, executor.info.startedUnixMs, true});
@@ -150,6 +150,11 @@
 }
 
 void scheduler::endExecutor(const executor_id &id, boot_time now)
+{
+    endExecutor(id, release_reason::executor_ended, now);
+}
+
+void scheduler::endExecutor(const executor_id &id, release_reason reason, boot_time now)
 {
     executor_entry *const executor = m_executors.find(id);
     if (!executor)
@@ -158,7 +163,7 @@
     for (const auto &[task, each] : executor->assignments)
         held.push_back(task);
     for (const task_id &task : held)
-        dropAssignment(*executor, task, now);
+        dropAssignment(*executor, task, reason, now);
     m_endedIncarnations.push_back({id, executor->info.startedUnixMs, executor->registered});
     m_executors.erase(id);
 }
@@ -169,19 +174,46 @@
         executor.lapsedRuns.push_back({task, held.run});
     while (!executor.assignments.empty()) {
         const task_id task = executor.assignments.begin()->first;
-        dropAssignment(executor, task, now);
+        dropAssignment(executor, task, release_reason::lease_over, now);
     }
 }
 
-void scheduler::dropAssignment(executor_entry &executor, const task_id &task, boot_time now)
+void scheduler::dropAssignment(executor_entry &executor, const task_id &task, release_reason reason,
+                               boot_time now)
 {
-    const task_entry *const entry = m_jobs.find(task);
-    if (entry && entry->executor == executor.info.id)
+    task_entry *const entry = m_jobs.find(task);
+    if (entry && entry->executor == executor.info.id) {
+        const assignment *const held = m_executors.find(executor.info.id, task);
         m_jobs.release(task, {});
+        entry->former = {held ? held->run : entry->former.run, reason, entry->former.starts};
+        if (held && reason != release_reason::ended && reason != release_reason::not_started
+            && !entry->done && !isFinal(m_jobs.find(task.job)->state))
+            noteGivenUp(executor, {task, held->run}, reason, now);
+    }
     m_executors.release(executor, task, now);
     m_changedPools.insert(executor.info.pool);
 }
 
+void scheduler::noteGivenUp(const executor_entry &executor, const task_run &run,
+                            release_reason reason, boot_time now)
+{
+    auto *const last =
+        m_notices.empty() ? nullptr : std::get_if<runs_given_up_notice>(&m_notices.back());
+    if (last && last->executor == executor.info.id && last->reason == reason
+        && last->startedUnixMs == executor.info.startedUnixMs)
+    {
+        last->runs.push_back(run);
+        return;
+    }
+    runs_given_up_notice added{
+        executor.info.id, executor.info.startedUnixMs,   reason, {run},
+        std::nullopt,     now - executor.latestLeaseEnd,
+    };
+    if (executor.clockReadAt != boot_time{})
+        added.reportAge = now - executor.clockReadAt;
+    m_notices.emplace_back(std::move(added));
+}
+
 void scheduler::stopRun(executor_entry &executor, const task_id &task, assignment &held,
                         stop_reason reason, boot_time now)
 {
@@ -222,7 +254,7 @@
              || (outcome == start_outcome::restarted
                  && executor->info.startedUnixMs == order.startedUnixMs))
         executor->suspendedUntil = now + rejectionBackoff;
-    dropAssignment(*executor, order.task, now);
+    dropAssignment(*executor, order.task, release_reason::not_started, now);
 }
 
 bool scheduler::isStartPending(const start_order &order) const
@@ -262,7 +294,7 @@
     const boot_time before = std::exchange(m_checkedAt, now);
     for (const auto &[id, executor] : m_executors.all()) {
         if (mayHaveUnknownRuns(executor, before) && !mayHaveUnknownRuns(executor, now))
-            m_notices.emplace_back(earlier_leases_over_notice{id});
+            m_notices.emplace_back(earlier_leases_over_notice{id, executor.info.startedUnixMs});
     }
     for (const executor_id &id : m_executors.executorsWithExpiredLease(std::min(now, confirmedAt)))
     {
@@ -270,7 +302,7 @@
         if (executor.registered)
             giveUpRuns(executor, now);
         else
-            endExecutor(id, now);
+            endExecutor(id, release_reason::lease_over, now);
     }
     for (auto &[id, executor] : m_executors.all()) {
         stopStalled(executor, now);
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -162,6 +163,7 @@
     /** Returns whether the job is known, or known not to exist. */
     [[nodiscard]] bool isDecided(executor_entry &executor, const job_id &id, boot_time now);
     void applyRunsAndEnds(executor_entry &executor, const executor_report &report, boot_time now);
+    void noteEarlierRuns(const executor_entry &executor, const executor_report &report);
     /** Applies reported runs of jobs that have been read since. */
     void applyUndecidedReports(boot_time now);
     void beginIncarnation(executor_entry &executor, std::int64_t startedUnixMs, boot_time now);
@@ -169,7 +171,10 @@
     void adoptRun(executor_entry &executor, const reported_run &run, boot_time now);
     /** Applies the ends up to the first one that can't be decided. */
     void applyReportedEnds(executor_entry &executor, const executor_report &report, boot_time now);
-    void applyEnd(executor_entry &executor, const ended_run &end, boot_time now);
+    /** Returns whether the end counts. */
+    bool applyEnd(executor_entry &executor, const ended_run &end, boot_time now);
+    /** Returns why an end as done has had no effect on its job. */
+    [[nodiscard]] std::string_view uncountedReason(const task_id &task);
     void reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
                                const report_proof &proof, boot_time now);
     void throttleBackfill(executor_entry &executor, boot_time now);
@@ -183,7 +188,12 @@
     void stopRunsOf(const job_id &id, boot_time now);
     void stopRun(executor_entry &executor, const task_id &task, assignment &held,
                  stop_reason reason, boot_time now);
-    void dropAssignment(executor_entry &executor, const task_id &task, boot_time now);
+    void dropAssignment(executor_entry &executor, const task_id &task, release_reason reason,
+                        boot_time now);
+    /** Adds the run to the notice of the runs that were given up. */
+    void noteGivenUp(const executor_entry &executor, const task_run &run, release_reason reason,
+                     boot_time now);
+    void endExecutor(const executor_id &id, release_reason reason, boot_time now);
     /** Returns how long the reported progress of a run may stay unchanged. */
     [[nodiscard]] std::chrono::milliseconds stallTimeoutOf(const task_id &task,
                                                            const assignment &held);
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -1,3 +1,4 @@
+#include <support/captured_log.hpp>
 #include <support/fake_keyspace.hpp>
 
 #include <azurelb/capacity/wave_progress.hpp>
@@ -12,6 +13,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -188,11 +190,15 @@
     CPPUNIT_TEST(onlyOneOwnerInARowYields);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
     CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
+    CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
+    CPPUNIT_TEST(repeatedStartIsLoggedAfterTheReason);
+    CPPUNIT_TEST(startsOfALargeStepAreLoggedInLinesOfBoundedLength);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
+        m_log.emplace();
         m_store.put(std::string{store_keys::jobRecord(firstJob)}, encode(makeJob(firstJob)));
         const store_revision token = m_store.put(std::string{store_keys::owner}, "me");
         owner::options options;
@@ -222,7 +228,11 @@
         run(milliseconds{100});
     }
 
-    void tearDown() override { m_owner.reset(); }
+    void tearDown() override
+    {
+        m_owner.reset();
+        m_log.reset();
+    }
 
     void startsJobs()
     {
@@ -686,7 +696,75 @@
         CPPUNIT_ASSERT(m_gateway.asked == std::set<executor_id>{executorName});
     }
 
+    void firstStartIsLoggedWithItsIncarnationAndLease()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        const start_order &order = m_gateway.queue.front().order;
+        const std::string line = onlyLine("910 run_ordered");
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::to_string(order.leaseEnd.count()), fieldOf(line, "lease_end_ms"));
+        // The job was accepted before this owner took over.
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "start"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"earlier-owner"}, fieldOf(line, "former"));
+        m_store.put(std::string{store_keys::jobRecord(secondJob)}, encode(makeJob(secondJob)));
+        run(milliseconds{300});
+        const auto lines = m_log->linesOf("910 run_ordered");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, fieldOf(lines.back(), "start"));
+    }
+
+    /** The executor lists no run, so that the first one has ended. */
+    void repeatedStartIsLoggedAfterTheReason()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        const fake_gateway::queued_start first = m_gateway.queue.front();
+        first.done({start_outcome::started, milliseconds{1000}});
+        run(milliseconds{400});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway.queue.size());
+        const std::string givenUp = onlyLine("915 run_given_up");
+        CPPUNIT_ASSERT_EQUAL(std::string{"not-listed"}, fieldOf(givenUp, "reason"));
+        const auto starts = m_log->linesOf("910 run_ordered");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, fieldOf(starts.back(), "start"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"not-listed"}, fieldOf(starts.back(), "former"));
+        CPPUNIT_ASSERT_EQUAL(std::to_string(first.order.run), fieldOf(starts.back(), "former_run"));
+        CPPUNIT_ASSERT(m_log->positionOf(givenUp) < m_log->positionOf(starts.back()));
+    }
+
+    /** A line of over 4,095 bytes is cut off, and with it the fields at its end. */
+    void startsOfALargeStepAreLoggedInLinesOfBoundedLength()
+    {
+        constexpr std::uint32_t tasks{450};
+        constexpr std::size_t maxLength{4000};
+        job_record job = makeJob(firstJob);
+        job.steps.front().taskCount = tasks;
+        job.steps.front().request = {10, 10, 0};
+        m_store.put(std::string{store_keys::jobRecord(firstJob)}, encode(job));
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{tasks}, m_gateway.queue.size());
+        std::size_t logged = 0;
+        for (const std::string &each : m_log->linesOf("910 run_ordered")) {
+            CPPUNIT_ASSERT(each.size() < maxLength);
+            const std::string runs = fieldOf(each, "run");
+            logged += static_cast<std::size_t>(std::count(runs.begin(), runs.end(), ',')) + 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{tasks}, logged);
+    }
+
 private:
+    [[nodiscard]] std::string onlyLine(std::string_view event) const
+    {
+        const auto lines = m_log->linesOf(event);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+        return lines.front();
+    }
+
     static job_record makeJob(const std::string &id)
     {
         job_record job;
@@ -830,6 +908,7 @@
         m_loop.run_for(time);
     }
 
+    std::optional<captured_log> m_log{};
     boost::asio::io_context m_loop{};
     fake_keyspace m_store{m_loop};
     fake_gateway m_gateway{m_loop};
