Logs: acknowledgements, and report requests that meet another incarnation

Hypothesis 3, a report request that reaches another incarnation than the one it is meant for, left no trace at all.

Now: 917 when an executor is told up to which number it may forget ends (only when that rises), 927 (warning) when a request with acknowledgement or lease is answered by another incarnation, with both incarnations, the number and the lease end that it carried, 928 when both were left out on a new connection. 920 tells what the request without an answer carried. report_request names the incarnation (startedUnixMs), executor_reply::reduced whether both were left out. Counters for 927 and 928.

--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -30,6 +30,9 @@
     executor_id executor{};
     /** IP:PORT. */
     std::string address{};
+    /** Incarnation for which acknowledged and leaseEnd are meant: its start time in Unix
+        milliseconds; 0 if unknown. */
+    std::int64_t startedUnixMs{0};
     /** Sequence number up to which the executor may discard ended runs. */
     std::int64_t acknowledged{0};
     /** New end of the lease on the executor's clock; unchanged if empty. */
@@ -43,6 +46,8 @@
 {
     report_outcome outcome{report_outcome::no_answer};
     executor_report report{};
+    /** The answered request was sent without acknowledgement and lease. */
+    bool reduced{false};
 };
 
 /**
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -229,6 +229,7 @@
     report_request request;
     request.executor = id;
     request.address = executor->info.address;
+    request.startedUnixMs = executor->info.startedUnixMs;
     request.acknowledged = to.resetNumbering ? 0 : executor->lastStoredEnd;
     if (executor->contacted && !to.resetNumbering) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
@@ -236,21 +237,54 @@
         request.wait = reportWait(*executor);
     }
     to.reportPending = true;
+    noteAcknowledgement(to, request);
     m_services.executors.report(
-        request, [this, id, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
+        request,
+        [this, request, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
             if (!alive.expired())
-                handleReport(id, std::move(reply), now);
+                handleReport(request, std::move(reply), now);
         });
 }
 
+void owner::noteAcknowledgement(channel &to, const report_request &request)
+{
+    if (to.acknowledgedTo != request.startedUnixMs) {
+        to.acknowledgedTo = request.startedUnixMs;
+        to.acknowledged = 0;
+    }
+    if (request.acknowledged <= to.acknowledged)
+        return;
+    to.acknowledged = request.acknowledged;
+    if (mayLog(event::ends_acknowledged))
+        logEvent(event::ends_acknowledged,
+                 {{"executor", request.executor},
+                  {"born", request.startedUnixMs},
+                  {"up_to", request.acknowledged}});
+}
+
+void owner::checkReached(channel &to, const report_request &request, const executor_reply &reply)
+{
+    const bool hasContent = request.acknowledged != 0 || request.leaseEnd;
+    if (!hasContent || reply.outcome != report_outcome::reported)
+        return;
+    if (reply.reduced)
+        to.acknowledged = 0;
+    const std::int64_t answered = reply.report.startedUnixMs;
+    const bool isOther =
+        request.startedUnixMs != 0 && answered != 0 && answered != request.startedUnixMs;
+    if (reply.reduced || isOther)
+        m_services.metrics.recordReach(request, reply);
+}
+
 void owner::requestReportAfter(const executor_id &id, milliseconds pause)
 {
     channel &to = *m_channels.at(id);
     callAfter(to.timer, pause, m_alive, [this, id] { requestReport(id); });
 }
 
-void owner::handleReport(const executor_id &id, executor_reply &&reply, boot_time askedAt)
+void owner::handleReport(const report_request &request, executor_reply &&reply, boot_time askedAt)
 {
+    const executor_id &id = request.executor;
     const auto found = m_channels.find(id);
     if (found == m_channels.end())
         return;
@@ -272,7 +306,13 @@
     }
     if (reply.outcome == report_outcome::no_answer) {
         if (to.failures == 0 && m_scheduler.executors().find(id))
-            logEvent(event::executor_silent, {{"executor", id}});
+            logEvent(event::executor_silent,
+                     {{"executor", id},
+                      {"born", request.startedUnixMs},
+                      {"up_to", request.acknowledged},
+                      {"lease_end_ms",
+                       request.leaseEnd ? std::to_string(request.leaseEnd->count())
+                                        : std::string{"none"}}});
         to.failures = std::min(to.failures + 1, maxRetryFactor);
         to.resetNumbering = true;
         m_scheduler.markUnresponsive(id);
@@ -282,6 +322,7 @@
     }
     to.failures = 0;
     to.resetNumbering = false;
+    checkReached(to, request, reply);
     m_scheduler.setJobsReadAt(m_jobWatcher->state().confirmedAt);
     m_scheduler.applyReport(id, reply.report, askedAt, now);
     scheduleAdvance();
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -101,6 +101,9 @@
         unsigned failures{0};
         /** Ended runs may have been renumbered since the last answer. */
         bool resetNumbering{true};
+        /** Incarnation to which ends were last acknowledged, and up to which number. */
+        std::int64_t acknowledgedTo{0};
+        std::int64_t acknowledged{0};
         boost::asio::steady_timer timer;
 
         explicit channel(boost::asio::io_context &loop)
@@ -127,7 +130,12 @@
     void handleRegistration(const executor_registration &info);
     void requestReport(const executor_id &id);
     void requestReportAfter(const executor_id &id, std::chrono::milliseconds pause);
-    void handleReport(const executor_id &id, executor_reply &&reply, boot_time askedAt);
+    /** Logs that ends are acknowledged, if more are than before. */
+    static void noteAcknowledgement(channel &to, const report_request &request);
+    /** Logs if the acknowledgement or lease of a report request was not sent, or has reached
+        another incarnation than the one for which it was meant. */
+    void checkReached(channel &to, const report_request &request, const executor_reply &reply);
+    void handleReport(const report_request &request, executor_reply &&reply, boot_time askedAt);
     void scheduleAdvance();
     void advance();
     void retireEndedExecutors();
--- a/src/azurelb/control/owner_metrics.cpp
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -1,3 +1,4 @@
+#include <azurelb/control/executor_gateway.hpp>
 #include <azurelb/control/owner_metrics.hpp>
 #include <azurelb/log/log.hpp>
 #include <azurelb/metrics/metrics.hpp>
@@ -249,6 +250,31 @@
         .Increment();
 }
 
+void owner_metrics::recordReach(const report_request &request, const executor_reply &reply)
+{
+    const event line =
+        reply.reduced ? event::acknowledgement_withheld : event::report_on_other_incarnation;
+    logEvent(line,
+             {{"executor", request.executor},
+              {"expected_born", request.startedUnixMs},
+              {"born", reply.report.startedUnixMs},
+              {"up_to", request.acknowledged},
+              {"lease_end_ms",
+               request.leaseEnd ? std::to_string(request.leaseEnd->count()) : std::string{"none"}},
+              {"clock_ms", reply.report.clock.count()}});
+    if (reply.reduced)
+        m_registry
+            .counter("azurelb_acknowledgements_withheld_total",
+                     "Report requests that were sent without acknowledgement and lease.")
+            .Increment();
+    else
+        m_registry
+            .counter("azurelb_reports_on_other_incarnation_total",
+                     "Report requests with an acknowledgement or lease that another incarnation of "
+                     "their executor has answered.")
+            .Increment();
+}
+
 void owner_metrics::recordEventLoopDelay(std::chrono::milliseconds delay)
 {
     m_registry
--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -33,6 +33,9 @@
         out. The clocks are those in the answer and in the order's incarnation. */
     void recordOtherIncarnation(const start_order &order, std::chrono::milliseconds clock,
                                 std::chrono::milliseconds expectedClock);
+    /** Records that the acknowledgement or lease of a report request was not sent, or has reached
+        another incarnation than the one for which it was meant. */
+    void recordReach(const report_request &request, const executor_reply &reply);
     /** Records the greatest lateness of the event loop since the last call. */
     void recordEventLoopDelay(std::chrono::milliseconds delay);
     /** Records the age of an input of the owner's decisions. */
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -65,6 +65,7 @@
                 reply.outcome = report_outcome::reported;
                 reply.report.clock = milliseconds{1000};
                 reply.report.startedUnixMs = startedUnixMs;
+                reply.reduced = reduced;
                 if (request.acknowledged < lastEnd.sequence)
                     reply.report.ended.push_back(lastEnd);
                 done(std::move(reply));
@@ -89,6 +90,8 @@
     /** Executors from which a report was requested. */
     std::set<executor_id> asked{};
     std::int64_t startedUnixMs{1};
+    /** Report requests are sent without acknowledgement and lease. */
+    bool reduced{false};
     /** Executors do not answer. */
     bool silent{false};
     executor_id silentExecutor{};
@@ -193,6 +196,10 @@
     CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
     CPPUNIT_TEST(repeatedStartIsLoggedAfterTheReason);
     CPPUNIT_TEST(startsOfALargeStepAreLoggedInLinesOfBoundedLength);
+    CPPUNIT_TEST(acknowledgementIsLoggedOnce);
+    CPPUNIT_TEST(reportOnAnotherIncarnationIsLogged);
+    CPPUNIT_TEST(withheldAcknowledgementIsLogged);
+    CPPUNIT_TEST(silentExecutorIsLoggedWithWhatItMayHaveGot);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -757,6 +764,76 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{tasks}, logged);
     }
 
+    void acknowledgementIsLoggedOnce()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{600});
+        const std::string end = onlyLine("916 ends_done");
+        const std::string line = onlyLine("917 ends_acknowledged");
+        CPPUNIT_ASSERT_EQUAL(std::string{executorName}, fieldOf(line, "executor"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "up_to"));
+        CPPUNIT_ASSERT(m_log->positionOf(end) < m_log->positionOf(line));
+    }
+
+    /** The request with the number of the former incarnation's end has reached a new one, which
+        would discard its own ends up to that number. */
+    void reportOnAnotherIncarnationIsLogged()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{600});
+        CPPUNIT_ASSERT(m_log->linesOf("927 report_on_other_incarnation").empty());
+        m_gateway.startedUnixMs = 2;
+        run(milliseconds{300});
+        const std::string line = onlyLine("927 report_on_other_incarnation");
+        CPPUNIT_ASSERT_EQUAL(std::string{executorName}, fieldOf(line, "executor"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "expected_born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "up_to"));
+        CPPUNIT_ASSERT(std::stoll(fieldOf(line, "lease_end_ms")) > 1000);
+        CPPUNIT_ASSERT_EQUAL(
+            1.0, m_metrics.counter("azurelb_reports_on_other_incarnation_total", "").Value());
+    }
+
+    void withheldAcknowledgementIsLogged()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        m_gateway.reduced = true;
+        m_gateway.startedUnixMs = 2;
+        run(milliseconds{60});
+        m_gateway.reduced = false;
+        run(milliseconds{300});
+        const auto lines = m_log->linesOf("928 acknowledgement_withheld");
+        CPPUNIT_ASSERT(!lines.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(lines.front(), "expected_born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, fieldOf(lines.front(), "born"));
+        CPPUNIT_ASSERT(m_log->linesOf("927 report_on_other_incarnation").empty());
+        CPPUNIT_ASSERT_EQUAL(
+            static_cast<double>(lines.size()),
+            m_metrics.counter("azurelb_acknowledgements_withheld_total", "").Value());
+    }
+
+    /** A request without an answer may have been carried out. */
+    void silentExecutorIsLoggedWithWhatItMayHaveGot()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{600});
+        m_gateway.silent = true;
+        run(milliseconds{300});
+        const std::string line = onlyLine("920 executor_silent");
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "up_to"));
+        CPPUNIT_ASSERT(std::stoll(fieldOf(line, "lease_end_ms")) > 1000);
+    }
+
 private:
     [[nodiscard]] std::string onlyLine(std::string_view event) const
     {
