--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -46,11 +46,11 @@
     void write(const job_started_notice &notice);
     void write(const job_ended_notice &notice);
     void write(const run_ended_notice &notice);
-    static void write(const ends_done_notice &notice);
+    void write(const ends_done_notice &notice);
     void write(const end_not_counted_notice &notice);
     void write(const report_not_applied_notice &notice);
     void write(const runs_given_up_notice &notice);
-    static void write(const earlier_runs_listed_notice &notice);
+    void write(const earlier_runs_listed_notice &notice);
     void write(const executor_restarted_notice &notice);
     void write(const earlier_leases_over_notice &notice);
     void write(const unread_job_notice &notice);
