Logs: ends and acknowledgements of one pass share a line

Cause: a line for each report with ends, and one for each acknowledgement, came to as many lines as starts. Above 400 lines a second of an event the rest is left out, and an owner of 350 executors starts 745 runs a second: the chain of a task would have been broken where it matters.

Now: 916 and 917 are written once a scheduling pass (4 to 40 ms, so at most 250 lines a second and 40 ends each) and name each executor as EXECUTOR/BORN/NUMBER.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -255,11 +255,7 @@
     if (request.acknowledged <= to.acknowledged)
         return;
     to.acknowledged = request.acknowledged;
-    if (mayLog(event::ends_acknowledged))
-        logEvent(event::ends_acknowledged,
-                 {{"executor", request.executor},
-                  {"born", request.startedUnixMs},
-                  {"up_to", request.acknowledged}});
+    m_acknowledgements.push_back({request.executor, request.startedUnixMs, request.acknowledged});
 }
 
 void owner::checkReached(channel &to, const report_request &request, const executor_reply &reply)
@@ -361,16 +357,17 @@
 
 void owner::recordNotices()
 {
-    for (const scheduling_notice &each : m_scheduler.takeNotices())
-        m_services.metrics.record(each);
+    m_services.metrics.record(m_scheduler.takeNotices());
+    owner_metrics::recordAcknowledgements(std::exchange(m_acknowledgements, {}));
 }
 
 void owner::advance()
 {
     m_advanceScheduled = false;
-    recordNotices();
-    if (!permits(order_kind::stop))
+    if (!permits(order_kind::stop)) {
+        recordNotices();
         return;
+    }
     const auto begun = std::chrono::steady_clock::now();
     const boot_time now = boot_clock::now();
     updateHold(now);
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -130,8 +130,8 @@
     void handleRegistration(const executor_registration &info);
     void requestReport(const executor_id &id);
     void requestReportAfter(const executor_id &id, std::chrono::milliseconds pause);
-    /** Logs that ends are acknowledged, if more are than before. */
-    static void noteAcknowledgement(channel &to, const report_request &request);
+    /** Notes that ends are acknowledged, if more are than before. */
+    void noteAcknowledgement(channel &to, const report_request &request);
     /** Logs if the acknowledgement or lease of a report request was not sent, or has reached
         another incarnation than the one for which it was meant. */
     void checkReached(channel &to, const report_request &request, const executor_reply &reply);
@@ -155,6 +155,7 @@
     void storeWave(const wave_entry &wave, const wave_progress &progress);
     void handleWaveNotStored(std::int64_t number, const keyspace_commit &outcome);
     void removeExpiredJobs();
+    /** Logs notices of the scheduler and acknowledgements. */
     void recordNotices();
     [[nodiscard]] bool permits(order_kind kind);
     /** Checks whether starts must wait for an outdated input, and logs when that changes. */
@@ -184,6 +185,8 @@
     std::unique_ptr<executor_directory> m_directory;
     std::unordered_map<executor_id, executor_registration> m_registered{};
     std::unordered_map<executor_id, std::unique_ptr<channel>> m_channels{};
+    /** Acknowledgements that have not been logged yet. */
+    std::vector<acknowledged_ends> m_acknowledgements{};
     /** Ended incarnations of executors, which the directory may still list. */
     std::set<std::string> m_endedIncarnations{};
     /** Progress stored by an earlier owner, kept until its job is added. */
--- a/src/azurelb/control/owner_metrics.cpp
+++ b/src/azurelb/control/owner_metrics.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace azurelb {
@@ -24,6 +25,9 @@
 constexpr double millisPerSecond{1000};
 /** Runs in one log line, which is cut off at 4,095 bytes. */
 constexpr std::size_t maxRunsPerLine{20};
+/** The same for ends as done, each possibly with its executor, and for acknowledgements. */
+constexpr std::size_t maxEndsPerLine{40};
+constexpr std::size_t maxAcknowledgementsPerLine{60};
 
 double inSeconds(std::chrono::milliseconds time)
 {
@@ -55,6 +59,39 @@
     } while (!left.empty());
 }
 
+/** Returns EXECUTOR/BORN/NUMBER. */
+std::string nameOf(const executor_id &executor, std::int64_t startedUnixMs, std::int64_t number)
+{
+    return executor + '/' + std::to_string(startedUnixMs) + '/' + std::to_string(number);
+}
+
+/** Lists the ends of all executors in as few lines as possible: under load, a line for each would
+    cost the owner more than the scheduling of the runs. */
+void writeEndsDone(const std::vector<const ends_done_notice *> &done)
+{
+    if (done.empty() || !mayLog(event::ends_done))
+        return;
+    std::string list;
+    std::size_t listed = 0;
+    for (const ends_done_notice *const each : done) {
+        const std::string from = nameOf(each->executor, each->startedUnixMs, each->lastNumber);
+        bool isNamed = false;
+        for (const task_run &run : each->runs) {
+            if (listed++ == maxEndsPerLine) {
+                logEvent(event::ends_done, {{"ends", std::exchange(list, {})}});
+                listed = 1;
+                isNamed = false;
+            }
+            if (std::exchange(isNamed, true))
+                list += ',';
+            else
+                list += (list.empty() ? "" : " ") + from + '=';
+            list += toString(run.task) + ':' + std::to_string(run.run);
+        }
+    }
+    logEvent(event::ends_done, {{"ends", list}});
+}
+
 } // namespace
 
 owner_metrics::owner_metrics(metrics &registry)
@@ -66,9 +103,34 @@
           "azurelb_job_seconds", "Time from acceptance of a job to its completion.", bucketBoundsS)}
 { }
 
-void owner_metrics::record(const scheduling_notice &notice)
+void owner_metrics::record(const scheduling_notices &notices)
+{
+    std::vector<const ends_done_notice *> done;
+    for (const scheduling_notice &each : notices) {
+        if (const auto *const ends = std::get_if<ends_done_notice>(&each))
+            done.push_back(ends);
+    }
+    writeEndsDone(done);
+    for (const scheduling_notice &notice : notices)
+        std::visit([this](const auto &each) { write(each); }, notice);
+}
+
+void owner_metrics::recordAcknowledgements(const std::vector<acknowledged_ends> &acknowledged)
 {
-    std::visit([this](const auto &each) { write(each); }, notice);
+    if (acknowledged.empty() || !mayLog(event::ends_acknowledged))
+        return;
+    std::string list;
+    std::size_t listed = 0;
+    for (const acknowledged_ends &each : acknowledged) {
+        if (listed++ == maxAcknowledgementsPerLine) {
+            logEvent(event::ends_acknowledged, {{"up_to", std::exchange(list, {})}});
+            listed = 1;
+        }
+        if (!list.empty())
+            list += ' ';
+        list += nameOf(each.executor, each.startedUnixMs, each.number);
+    }
+    logEvent(event::ends_acknowledged, {{"up_to", list}});
 }
 
 void owner_metrics::write(const job_started_notice &notice)
@@ -107,17 +169,6 @@
         .Increment();
 }
 
-void owner_metrics::write(const ends_done_notice &notice)
-{
-    forEachLine(event::ends_done, notice.runs, [&notice](const std::string &list) {
-        logEvent(event::ends_done,
-                 {{"executor", notice.executor},
-                  {"born", notice.startedUnixMs},
-                  {"up_to", notice.lastNumber},
-                  {"runs", list}});
-    });
-}
-
 void owner_metrics::write(const end_not_counted_notice &notice)
 {
     logEvent(event::end_not_counted,
--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -11,12 +11,22 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace azurelb {
 
+/** Number up to which an incarnation of an executor may forget ends. */
+struct acknowledged_ends
+{
+    executor_id executor{};
+    std::int64_t startedUnixMs{0};
+    std::int64_t number{0};
+};
+
 /**
  * Logs and counts the decisions of an owner. Label values are pools, states and kinds of ends, so
  * the number of series is small.
@@ -26,7 +36,9 @@
 public:
     explicit owner_metrics(metrics &registry);
 
-    void record(const scheduling_notice &notice);
+    void record(const scheduling_notices &notices);
+    /** Records that executors are told up to which number they may forget ends. */
+    static void recordAcknowledgements(const std::vector<acknowledged_ends> &acknowledged);
     void recordElection();
     void recordStart(start_outcome outcome);
     /** Records the answer to a start order that another incarnation of the executor has carried
@@ -46,7 +58,8 @@
     void write(const job_started_notice &notice);
     void write(const job_ended_notice &notice);
     void write(const run_ended_notice &notice);
-    void write(const ends_done_notice &notice);
+    /** See record(), which lists the ends of several executors in one line. */
+    void write(const ends_done_notice &) { }
     void write(const end_not_counted_notice &notice);
     void write(const report_not_applied_notice &notice);
     void write(const runs_given_up_notice &notice);
