--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -1,3 +1,4 @@
+#include <support/captured_log.hpp>
 #include <support/fake_keyspace.hpp>
 
 #include <azurelb/capacity/wave_progress.hpp>
@@ -12,6 +13,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -63,6 +65,7 @@
                 reply.outcome = report_outcome::reported;
                 reply.report.clock = milliseconds{1000};
                 reply.report.startedUnixMs = startedUnixMs;
+                reply.reduced = reduced;
                 if (request.acknowledged < lastEnd.sequence)
                     reply.report.ended.push_back(lastEnd);
                 done(std::move(reply));
@@ -87,6 +90,8 @@
     /** Executors from which a report was requested. */
     std::set<executor_id> asked{};
     std::int64_t startedUnixMs{1};
+    /** Report requests are sent without acknowledgement and lease. */
+    bool reduced{false};
     /** Executors do not answer. */
     bool silent{false};
     executor_id silentExecutor{};
@@ -188,11 +193,19 @@
     CPPUNIT_TEST(onlyOneOwnerInARowYields);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
     CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
+    CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
+    CPPUNIT_TEST(repeatedStartIsLoggedAfterTheReason);
+    CPPUNIT_TEST(startsOfALargeStepAreLoggedInLinesOfBoundedLength);
+    CPPUNIT_TEST(acknowledgementIsLoggedOnce);
+    CPPUNIT_TEST(reportOnAnotherIncarnationIsLogged);
+    CPPUNIT_TEST(withheldAcknowledgementIsLogged);
+    CPPUNIT_TEST(silentExecutorIsLoggedWithWhatItMayHaveGot);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
+        m_log.emplace();
         m_store.put(std::string{store_keys::jobRecord(firstJob)}, encode(makeJob(firstJob)));
         const store_revision token = m_store.put(std::string{store_keys::owner}, "me");
         owner::options options;
@@ -222,7 +235,11 @@
         run(milliseconds{100});
     }
 
-    void tearDown() override { m_owner.reset(); }
+    void tearDown() override
+    {
+        m_owner.reset();
+        m_log.reset();
+    }
 
     void startsJobs()
     {
@@ -686,7 +703,145 @@
         CPPUNIT_ASSERT(m_gateway.asked == std::set<executor_id>{executorName});
     }
 
+    void firstStartIsLoggedWithItsIncarnationAndLease()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        const start_order &order = m_gateway.queue.front().order;
+        const std::string line = onlyLine("910 run_ordered");
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::to_string(order.leaseEnd.count()), fieldOf(line, "lease_end_ms"));
+        // The job was accepted before this owner took over.
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "start"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"earlier-owner"}, fieldOf(line, "former"));
+        m_store.put(std::string{store_keys::jobRecord(secondJob)}, encode(makeJob(secondJob)));
+        run(milliseconds{300});
+        const auto lines = m_log->linesOf("910 run_ordered");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, fieldOf(lines.back(), "start"));
+    }
+
+    /** The executor lists no run, so that the first one has ended. */
+    void repeatedStartIsLoggedAfterTheReason()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        const fake_gateway::queued_start first = m_gateway.queue.front();
+        first.done({start_outcome::started, milliseconds{1000}});
+        run(milliseconds{400});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway.queue.size());
+        const std::string givenUp = onlyLine("915 run_given_up");
+        CPPUNIT_ASSERT_EQUAL(std::string{"not-listed"}, fieldOf(givenUp, "reason"));
+        const auto starts = m_log->linesOf("910 run_ordered");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, fieldOf(starts.back(), "start"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"not-listed"}, fieldOf(starts.back(), "former"));
+        CPPUNIT_ASSERT_EQUAL(std::to_string(first.order.run), fieldOf(starts.back(), "former_run"));
+        CPPUNIT_ASSERT(m_log->positionOf(givenUp) < m_log->positionOf(starts.back()));
+    }
+
+    /** A line of over 4,095 bytes is cut off, and with it the fields at its end. */
+    void startsOfALargeStepAreLoggedInLinesOfBoundedLength()
+    {
+        constexpr std::uint32_t tasks{450};
+        constexpr std::size_t maxLength{4000};
+        job_record job = makeJob(firstJob);
+        job.steps.front().taskCount = tasks;
+        job.steps.front().request = {10, 10, 0};
+        m_store.put(std::string{store_keys::jobRecord(firstJob)}, encode(job));
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{tasks}, m_gateway.queue.size());
+        std::size_t logged = 0;
+        for (const std::string &each : m_log->linesOf("910 run_ordered")) {
+            CPPUNIT_ASSERT(each.size() < maxLength);
+            const std::string runs = fieldOf(each, "run");
+            logged += static_cast<std::size_t>(std::count(runs.begin(), runs.end(), ',')) + 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{tasks}, logged);
+    }
+
+    void acknowledgementIsLoggedOnce()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{600});
+        const std::string end = onlyLine("916 ends_done");
+        const std::string line = onlyLine("917 ends_acknowledged");
+        CPPUNIT_ASSERT_EQUAL(std::string{executorName}, fieldOf(line, "executor"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "up_to"));
+        CPPUNIT_ASSERT(m_log->positionOf(end) < m_log->positionOf(line));
+    }
+
+    /** The request with the number of the former incarnation's end has reached a new one, which
+        would discard its own ends up to that number. */
+    void reportOnAnotherIncarnationIsLogged()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{600});
+        CPPUNIT_ASSERT(m_log->linesOf("927 report_on_other_incarnation").empty());
+        m_gateway.startedUnixMs = 2;
+        run(milliseconds{300});
+        const std::string line = onlyLine("927 report_on_other_incarnation");
+        CPPUNIT_ASSERT_EQUAL(std::string{executorName}, fieldOf(line, "executor"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "expected_born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "up_to"));
+        CPPUNIT_ASSERT(std::stoll(fieldOf(line, "lease_end_ms")) > 1000);
+        CPPUNIT_ASSERT_EQUAL(
+            1.0, m_metrics.counter("azurelb_reports_on_other_incarnation_total", "").Value());
+    }
+
+    void withheldAcknowledgementIsLogged()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        m_gateway.reduced = true;
+        m_gateway.startedUnixMs = 2;
+        run(milliseconds{60});
+        m_gateway.reduced = false;
+        run(milliseconds{300});
+        const auto lines = m_log->linesOf("928 acknowledgement_withheld");
+        CPPUNIT_ASSERT(!lines.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(lines.front(), "expected_born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, fieldOf(lines.front(), "born"));
+        CPPUNIT_ASSERT(m_log->linesOf("927 report_on_other_incarnation").empty());
+        CPPUNIT_ASSERT_EQUAL(
+            static_cast<double>(lines.size()),
+            m_metrics.counter("azurelb_acknowledgements_withheld_total", "").Value());
+    }
+
+    /** A request without an answer may have been carried out. */
+    void silentExecutorIsLoggedWithWhatItMayHaveGot()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{600});
+        m_gateway.silent = true;
+        run(milliseconds{300});
+        const std::string line = onlyLine("920 executor_silent");
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "up_to"));
+        CPPUNIT_ASSERT(std::stoll(fieldOf(line, "lease_end_ms")) > 1000);
+    }
+
 private:
+    [[nodiscard]] std::string onlyLine(std::string_view event) const
+    {
+        const auto lines = m_log->linesOf(event);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+        return lines.front();
+    }
+
     static job_record makeJob(const std::string &id)
     {
         job_record job;
@@ -830,6 +985,7 @@
         m_loop.run_for(time);
     }
 
+    std::optional<captured_log> m_log{};
     boost::asio::io_context m_loop{};
     fake_keyspace m_store{m_loop};
     fake_gateway m_gateway{m_loop};
