Soak: recut-executor restarts executors under a burst of orders; both forms of TWICE counted apart

It restarted one executor, waited for no order, and killed the owner and cut the executor at drawn times, so that orders were seldom carried out on the new incarnation shortly before a takeover.

Now two to four executors that have room restart while jobs with long tasks are submitted. The owner is killed and the executors are cut off soon after one of them has started a run. They register before the next owner is ready: a registration after that makes it wait for the longest lease, which hides the fault. The times of reconnection and the durations are drawn so that runs end before or after the next owner starts their tasks again.

The stand-in of an executor keeps to the protocol as before; fake_executor is not changed. run_audit: - starts after an end as done that is acknowledged then or later, and starts beside another run, are counted apart in the result line; - the time of a start is read after the other executors have noted their ends. It was read before, so an end of the last 20 ms seemed to follow the start and did not count; - a start in the millisecond of the end counts as after it. The exception of the rule (the executor's lease lapsed between the end and its acknowledgement) was in fake_executor::takeAcknowledged already and is unchanged.

--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-constexpr resources executorCapacity{16'000, 65'536, 0};
+constexpr resources executorCapacity{1000 * executor_endpoint::maxRuns, 65'536, 0};
 constexpr milliseconds reportPollInterval{20};
 /** On average, one run out of this number fails. */
 constexpr std::size_t runsPerFailure{40};
@@ -163,11 +163,10 @@
 
 http_response executor_endpoint::start(const std::string &body)
 {
-    const boot_time now = boot_clock::now();
     const auto in = platform::parseObject(body);
     const auto task = in ? taskOf(*in) : std::nullopt;
     if (!task)
-        return reply(http::status::bad_request, {}, m_model.clock(now));
+        return reply(http::status::bad_request, {}, m_model.clock(boot_clock::now()));
     start_order order;
     order.task = *task;
     order.run = platform::integerOf(*in, "RunId").value_or(0);
@@ -175,6 +174,8 @@
     order.leaseEnd = milliseconds{platform::integerOf(*in, "ExpiresMs").value_or(0)};
     const std::size_t before = m_model.running().size();
     const std::size_t otherRuns = m_countRuns(*task);
+    // Not before the count, which takes note of ends on other executors: they precede this start.
+    const boot_time now = boot_clock::now();
     const start_outcome outcome =
         m_model.start(order, platform::integerOf(*in, "FencingToken").value_or(0),
                       planOf(order.spec, *task, order.run), now);
--- a/test/soak/executor_endpoint.hpp
+++ b/test/soak/executor_endpoint.hpp
@@ -25,6 +25,8 @@
 public:
     /** Longest lease that an executor grants. */
     static constexpr std::chrono::milliseconds maxLease{10'000};
+    /** Number of runs that fill an executor. */
+    static constexpr std::size_t maxRuns{16};
 
     /** Returns the number of active runs of a task over all executors. */
     using run_counter = std::function<std::size_t(const task_id &)>;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -38,9 +38,11 @@
         azurelb::soak::soak_scenario scenario{options};
         scenario.run();
         const auto &audit = scenario.audit();
-        std::printf("seed %llu: %zu jobs, %zu starts, faults:%s: %s\n",
+        std::printf("seed %llu: %zu jobs, %zu starts, %zu faults:%s; %zu starts after done, "
+                    "%zu beside another run: %s\n",
                     static_cast<unsigned long long>(seed), audit.jobCount(), audit.startCount(),
-                    scenario.faults().c_str(), audit.violations().empty() ? "ok" : "FAILED");
+                    scenario.faultCount(), scenario.faults().c_str(), audit.startsAfterDone(),
+                    audit.concurrentStarts(), audit.violations().empty() ? "ok" : "FAILED");
         for (const std::string &each : audit.violations())
             std::printf("  %s\n", each.c_str());
         if (audit.violations().empty())
--- a/test/soak/run_audit.cpp
+++ b/test/soak/run_audit.cpp
@@ -16,14 +16,19 @@
     const auto known = m_specs.find(task.job);
     if (known == m_specs.end() || known->second != spec)
         addViolation("a task was started that no caller submitted: " + name);
-    if (otherRuns > 0)
+    if (otherRuns > 0) {
+        ++m_concurrentStarts;
         addViolation("two concurrent runs of a task: " + name);
+    }
     if (m_refused.contains(task.job))
         addViolation("a task was started although all attempts to submit its job were refused: "
                      + name);
-    if (m_acknowledged.contains(task))
+    const bool wasDone = m_acknowledged.contains(task);
+    if (wasDone) {
+        ++m_startsAfterDone;
         addViolation("a task was started after its success was acknowledged: " + name);
-    m_starts.push_back({task, now});
+    }
+    m_starts.push_back({task, now, wasDone});
 }
 
 void run_audit::acknowledged(const task_id &task, bool done, boot_time endedAt)
@@ -31,9 +36,15 @@
     if (!done)
         return;
     m_acknowledged.insert(task);
-    const bool again = std::any_of(m_starts.begin(), m_starts.end(), [&](const start_record &each) {
-        return each.task == task && each.at > endedAt;
-    });
+    bool again = false;
+    for (start_record &each : m_starts) {
+        // No run lasts less than a millisecond, so a start of the same time is that of a later run.
+        if (each.task != task || each.at < endedAt)
+            continue;
+        again = true;
+        m_startsAfterDone += each.countsAsAfterDone ? 0 : 1;
+        each.countsAsAfterDone = true;
+    }
     if (again)
         addViolation("the end of a run was acknowledged after a later start: " + toString(task));
 }
--- a/test/soak/run_audit.hpp
+++ b/test/soak/run_audit.hpp
@@ -44,6 +44,11 @@
         return m_violations;
     }
     [[nodiscard]] std::size_t startCount() const noexcept { return m_starts.size(); }
+    /** Starts after a run of the task had ended as done, if that end was acknowledged then or
+        later. */
+    [[nodiscard]] std::size_t startsAfterDone() const noexcept { return m_startsAfterDone; }
+    /** Starts while another run of the task was active. */
+    [[nodiscard]] std::size_t concurrentStarts() const noexcept { return m_concurrentStarts; }
     [[nodiscard]] std::size_t jobCount() const noexcept { return m_accepted.size(); }
 
 private:
@@ -51,6 +56,7 @@
     {
         task_id task{};
         boot_time at{};
+        bool countsAsAfterDone{false};
     };
 
     std::map<job_id, std::string> m_specs{};
@@ -63,6 +69,8 @@
     /** Tasks whose successful run was acknowledged. */
     std::set<task_id> m_acknowledged{};
     std::vector<start_record> m_starts{};
+    std::size_t m_startsAfterDone{0};
+    std::size_t m_concurrentStarts{0};
     std::vector<std::string> m_violations{};
 };
 
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds retryDelay{250};
 constexpr milliseconds pollInterval{300};
 constexpr unsigned maxAttempts{8};
+/** Tasks that last as long as this may outlast a takeover. */
+constexpr milliseconds longDuration{5000};
 constexpr unsigned statusOk{200};
 constexpr unsigned statusTooManyRequests{429};
 constexpr unsigned statusServiceUnavailable{503};
@@ -56,17 +58,23 @@
 }
 
 void soak_caller::submitJob()
+{
+    // Some tasks outlast a takeover and the leases of the former owner.
+    const bool isLong = draw(8) == 0;
+    const std::size_t duration = isLong ? 10'000 + draw(3000) : 100 + draw(1500);
+    submitJob(milliseconds{static_cast<milliseconds::rep>(duration)});
+}
+
+void soak_caller::submitJob(milliseconds duration)
 {
     planned_job plan;
     std::array<char, 17> id{};
     std::snprintf(id.data(), id.size(), "%08zx%08zx", draw(1U << 31U), draw(1U << 31U));
     plan.id = id.data();
-    // Some tasks outlast a takeover and the leases of the former owner.
-    const bool isLong = draw(8) == 0;
-    plan.spec = std::to_string(isLong ? 10'000 + draw(3000) : 100 + draw(1500));
+    plan.spec = std::to_string(duration.count());
     plan.tasks = static_cast<std::uint32_t>(1 + draw(6));
     plan.cancels = draw(10) == 0;
-    if (isLong)
+    if (duration >= longDuration)
         m_longJobs.insert(plan.id);
     m_audit.submitted(plan.id, plan.spec);
     ++m_active;
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -27,6 +27,8 @@
 
     /** Submits a random job and polls it until it ends. */
     void submitJob();
+    /** Submits a random job whose tasks last as long as given, and polls it until it ends. */
+    void submitJob(std::chrono::milliseconds duration);
 
     /** Number of jobs still being submitted or polled. */
     [[nodiscard]] std::size_t activeCount() const noexcept { return m_active; }
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -24,6 +24,12 @@
 constexpr milliseconds longRecoveryTime{45'000};
 constexpr milliseconds submitInterval{120};
 constexpr std::size_t maxActiveCallers{40};
+/** Executors that restart together in recutExecutor(), at most. */
+constexpr std::size_t maxRecutExecutors{4};
+/** Jobs submitted as they restart: two orders are in flight for each executor, the others wait. */
+constexpr unsigned recutJobs{8};
+/** Runs that an executor must have room for so that orders wait for it. */
+constexpr std::size_t minRecutRoom{4};
 
 const char *const noFault{"{}"};
 const char *const cutAll{R"({"cut":"CUT_ALL"})"};
@@ -48,7 +54,7 @@
     {"store-drops-history", &soak_scenario::dropStoreHistory},
     {"restart-executor", &soak_scenario::restartExecutorUnnoticed},
     {"change-configuration", &soak_scenario::changeConfigurationAndOwner},
-    {"recut-executor", &soak_scenario::recutExecutor},
+    {"recut-executor", &soak_scenario::recutExecutor, &soak_scenario::isRecutOver},
 }};
 
 soak_scenario::soak_scenario(const soak_options &options)
@@ -191,7 +197,10 @@
     });
     const fault &chosen =
         only == faultTypes.end() ? faultTypes.at(randomIndex(faultTypes.size())) : *only;
+    if (chosen.isPossible && !(this->*chosen.isPossible)())
+        return;
     m_faults += std::string{" "} + chosen.name;
+    ++m_faultCount;
     (this->*chosen.inject)();
 }
 
@@ -331,30 +340,82 @@
     schedule(randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
 }
 
-/** The busiest executor restarts, registers late and is cut off, and the owner is killed meanwhile.
-    Orders for the former incarnation that reach the new one run under a lease that the next owner
-    does not expect. One at a time, since each change of the owner prolongs the wait for leases. */
+/** Executors on which the owner places the next runs: it fills one after the other. */
+std::vector<soak_scenario::soak_executor *> soak_scenario::busyExecutorsWithRoom()
+{
+    const auto runsOn = [](const soak_executor *executor) {
+        return executor->endpoint->model().running().size();
+    };
+    std::vector<soak_executor *> found;
+    for (soak_executor &each : m_executors) {
+        if (runsOn(&each) > 0 && runsOn(&each) + minRecutRoom <= executor_endpoint::maxRuns)
+            found.push_back(&each);
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [&runsOn](const soak_executor *left, const soak_executor *right) {
+                         return runsOn(left) > runsOn(right);
+                     });
+    return found;
+}
+
+/** Executors restart and register late while orders for them are sent. Soon after one of them has
+    started a run, the owner is killed and they are cut off. Orders for the former incarnation that
+    reach the new one run under a lease that the next owner does not expect. One at a time, since
+    each change of the owner prolongs the wait for leases. */
 void soak_scenario::recutExecutor()
 {
-    const boot_time now = boot_clock::now();
-    if (now < m_recutUntil)
+    std::vector<soak_executor *> chosen = busyExecutorsWithRoom();
+    const std::size_t wanted = 2 + randomIndex(maxRecutExecutors - 1);
+    chosen.resize(std::min(chosen.size(), wanted));
+    recut_plan plan;
+    for (soak_executor *const each : chosen) {
+        endIncarnation(*each);
+        schedule(randomDuration(300, 1500), [this, each] { registerExecutor(*each); });
+        plan.targets.push_back({each, randomDuration(7700, 10'000)});
+    }
+    for (unsigned count = 0; count < recutJobs; ++count) {
+        const milliseconds duration = randomDuration(5000, 12'000);
+        schedule(randomDuration(0, 100), [this, duration] { m_callers->submitJob(duration); });
+    }
+    plan.latest = boot_clock::now() + randomDuration(700, 2000);
+    plan.registerDelay = randomDuration(0, 150);
+    plan.killDelay = plan.registerDelay + randomDuration(200, 350);
+    plan.cutDelay = plan.killDelay + randomDuration(-200, 150);
+    m_recutUntil = boot_time::max();
+    awaitStartAfterRestart(plan);
+}
+
+/** Takes the further steps once an executor has started a run, or if none does in time. */
+void soak_scenario::awaitStartAfterRestart(const recut_plan &plan)
+{
+    const bool started =
+        std::any_of(plan.targets.begin(), plan.targets.end(), [](const recut_plan::target &each) {
+            return !each.executor->endpoint->model().running().empty();
+        });
+    if (!started && boot_clock::now() < plan.latest) {
+        schedule(loopInterval, [this, plan] { awaitStartAfterRestart(plan); });
         return;
-    soak_executor &chosen = *std::max_element(m_executors.begin(), m_executors.end(),
-                                              [](const auto &left, const auto &right) {
-                                                  return left.endpoint->model().running().size()
-                                                      < right.endpoint->model().running().size();
-                                              });
-    endIncarnation(chosen);
-    schedule(randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
-    const milliseconds cutAfter = randomDuration(700, 2000);
-    const milliseconds reconnectAfter = cutAfter + randomDuration(9000, 12'000);
-    m_recutUntil = now + reconnectAfter;
-    schedule(cutAfter, [this, &chosen] { setProxy(chosen, cutAll); });
-    schedule(reconnectAfter, [this, &chosen] { setProxy(chosen, noFault); });
-    schedule(cutAfter - randomDuration(0, 600), [this] {
+    }
+    schedule(plan.registerDelay, [this, plan] {
+        for (const recut_plan::target &each : plan.targets)
+            registerExecutor(*each.executor);
+    });
+    schedule(plan.killDelay, [this] {
         if (soak_daemon *const owner = findOwner())
             owner->signal(SIGKILL);
     });
+    schedule(plan.cutDelay, [this, plan] { cutRestartedExecutors(plan); });
+}
+
+void soak_scenario::cutRestartedExecutors(const recut_plan &plan)
+{
+    const boot_time now = boot_clock::now();
+    m_recutUntil = now;
+    for (const recut_plan::target &each : plan.targets) {
+        setProxy(*each.executor, cutAll);
+        schedule(each.outage, [this, each] { setProxy(*each.executor, noFault); });
+        m_recutUntil = std::max(m_recutUntil, now + each.outage);
+    }
 }
 
 /** Two daemons miss the answers that carry the change, and the owner is stopped within a second. */
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -46,8 +46,9 @@
     void run();
 
     [[nodiscard]] const run_audit &audit() const noexcept { return m_audit; }
-    /** Names of the injected faults, in order. */
+    /** Names of the faults that were carried out, in order. */
     [[nodiscard]] const std::string &faults() const noexcept { return m_faults; }
+    [[nodiscard]] std::size_t faultCount() const noexcept { return m_faultCount; }
     /** Output of all daemons, each line preceded by the daemon's name. */
     [[nodiscard]] std::string logs();
 
@@ -62,6 +63,26 @@
     {
         const char *name;
         void (soak_scenario::*inject)();
+        /** Whether the fault can be injected now; nullptr if it always can. */
+        bool (soak_scenario::*isPossible)() const {nullptr};
+    };
+    /** What follows the restart of executors in recutExecutor(). */
+    struct recut_plan
+    {
+        struct target
+        {
+            soak_executor *executor;
+            /** Time from the cut until the executor is reachable again. */
+            std::chrono::milliseconds outage;
+        };
+        std::vector<target> targets{};
+        /** Until when a start on one of them is awaited. */
+        boot_time latest{};
+        /** Times from that start until they have registered, until the owner is killed, and until
+            they are cut off. */
+        std::chrono::milliseconds registerDelay{};
+        std::chrono::milliseconds killDelay{};
+        std::chrono::milliseconds cutDelay{};
     };
 
     void addExecutors();
@@ -94,6 +115,11 @@
     void restartExecutorUnnoticed();
     void changeConfigurationAndOwner();
     void recutExecutor();
+    [[nodiscard]] bool isRecutOver() const { return boot_clock::now() >= m_recutUntil; }
+    /** Executors with some runs and room for more, the busiest first. */
+    [[nodiscard]] std::vector<soak_executor *> busyExecutorsWithRoom();
+    void awaitStartAfterRestart(const recut_plan &plan);
+    void cutRestartedExecutors(const recut_plan &plan);
     void cutExecutor();
     void silenceExecutorConnections();
     void makeStoreUnavailable();
@@ -112,9 +138,10 @@
     std::vector<std::unique_ptr<soak_daemon>> m_daemons{};
     std::unique_ptr<soak_caller> m_callers{};
     std::int64_t m_configVersion{1};
-    /** When the executor of the last recutExecutor() is reachable again. */
+    /** When the executors of the last recutExecutor() are reachable again. */
     boot_time m_recutUntil{};
     std::string m_faults{};
+    std::size_t m_faultCount{0};
     /** Timers that end faults. */
     std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers{};
 };
