Owner: the record of a restarted executor says so, and the next owner counts on its leases

Callers saw tasks run twice: an executor restarted, was cut off, and the owner changed. Cause: that leases of a former clock may last up to the longest term on an executor was known to the owner that saw the restart alone. The next one assumed the usual term, before and after its first report.

The flag is stored with the executor's record, and the record is written as soon as the restart is known, whether or not the executor registers again.

--- a/src/azurelb/control/executor_registration_codec.cpp
+++ b/src/azurelb/control/executor_registration_codec.cpp
@@ -37,12 +37,12 @@
 
 std::string encodeRegistration(const executor_registration &info)
 {
-    return json::serialize(json::object{{"id", info.id},
-                                        {"address", info.address},
-                                        {"pool", info.pool},
-                                        {"zone", info.zone},
-                                        {"vm", info.vm},
-                                        {"born", info.startedUnixMs}});
+    json::object record{{"id", info.id},     {"address", info.address},
+                        {"pool", info.pool}, {"zone", info.zone},
+                        {"vm", info.vm},     {"born", info.startedUnixMs}};
+    if (info.mayHoldFormerLeases)
+        record["formerLeases"] = true;
+    return json::serialize(record);
 }
 
 std::optional<executor_registration> decodeRegistration(std::string_view text)
@@ -66,6 +66,8 @@
     if (born && !born->is_int64())
         return std::nullopt;
     info.startedUnixMs = born ? born->get_int64() : 0;
+    const json::value *const formerLeases = in.if_contains("formerLeases");
+    info.mayHoldFormerLeases = formerLeases && *formerLeases == json::value(true);
     if (!isWellFormed(info))
         return std::nullopt;
     return info;
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -119,7 +119,9 @@
 void progress_writer::collectExecutors()
 {
     for (const auto &[id, executor] : m_scheduler.executors().all()) {
-        if (executor.registered && !executor.ownershipRecorded)
+        // The next owner must learn of a restart even if the executor doesn't register any more.
+        const bool isNeeded = executor.registered || executor.info.mayHoldFormerLeases;
+        if (isNeeded && !executor.ownershipRecorded)
             m_units.push_back(
                 {{{}, {{store_keys::executor(id), encodeRegistration(executor.info), 0}}, {}},
                  {},
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -96,9 +96,6 @@
     bool fullyReported{false};
     /** Start time of the incarnation before this one; 0 if this owner knew none. */
     std::int64_t formerStartedUnixMs{0};
-    /** Leases meant for the clock of a former incarnation may have reached this one, whose clock
-        began anew: it shortens them to the longest term only. */
-    bool mayHoldFormerLeases{false};
     /** The last call to it failed. */
     bool unresponsive{false};
     /** Maintenance of its VM is imminent: it gets no new runs. */
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -43,12 +43,18 @@
         executor.latestLeaseEnd = now + m_options.maxTimeSinceRenewal - m_options.ownerLeaseTerm
             + std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor)
             + m_options.leaseMargin;
+        if (info.mayHoldFormerLeases)
+            executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, longestLeaseEnd(now));
     }
-    if (!isNew && executor.info.pool != info.pool)
+    if (!isNew && executor.info.pool != info.pool) {
         removeFromPool(executor);
+        executor.ownershipRecorded = false;
+    }
     if (isNew || executor.info.pool != info.pool)
         m_pools[info.pool].push_back(&executor);
+    const bool mayHoldFormerLeases = executor.info.mayHoldFormerLeases || info.mayHoldFormerLeases;
     executor.info = info;
+    executor.info.mayHoldFormerLeases = mayHoldFormerLeases;
     executor.rack = rackOf(info.labels);
     executor.registered = true;
     return executor;
@@ -98,11 +104,8 @@
     executor.unresponsive = false;
     executor.clock = milliseconds{0};
     executor.clockReadAt = {};
-    executor.mayHoldFormerLeases = true;
-    executor.latestLeaseEnd = std::max(
-        executor.latestLeaseEnd,
-        now + std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
-            + m_options.leaseMargin);
+    executor.info.mayHoldFormerLeases = true;
+    executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, longestLeaseEnd(now));
     executor.lastProcessedEnd = 0;
     executor.lastStoredEnd = 0;
     executor.unreadJobs.clear();
@@ -158,10 +161,17 @@
         std::max(executor.latestLeaseEnd, executor.clockReadAt + term + m_options.leaseMargin);
 }
 
+/** Returns when a lease of the longest term that was granted by now is over. */
+boot_time executor_table::longestLeaseEnd(boot_time now) const noexcept
+{
+    return now + std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
+        + m_options.leaseMargin;
+}
+
 void executor_table::capEarlierLeases(executor_entry &executor, boot_time now) const noexcept
 {
     const milliseconds longest =
-        executor.mayHoldFormerLeases ? m_options.maxLeaseTerm : m_options.leaseTerm;
+        executor.info.mayHoldFormerLeases ? m_options.maxLeaseTerm : m_options.leaseTerm;
     const auto term = std::chrono::duration_cast<milliseconds>(longest * slowClockFactor);
     executor.latestLeaseEnd = std::min(executor.latestLeaseEnd, now + term + m_options.leaseMargin);
 }
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -78,6 +78,7 @@
 
 private:
     void removeFromPool(const executor_entry &executor);
+    [[nodiscard]] boot_time longestLeaseEnd(boot_time now) const noexcept;
 
     scheduling_options m_options;
     std::unordered_map<executor_id, executor_entry> m_executors{};
--- a/test/azurelb/control/control_test.cpp
+++ b/test/azurelb/control/control_test.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_TEST(storesNothingAfterTheKeyIsLost);
     CPPUNIT_TEST(splitsLargeWrites);
     CPPUNIT_TEST(storesExecutorsBeforeTheyAreUsed);
+    CPPUNIT_TEST(recordsARestartBeforeTheExecutorRegisters);
     CPPUNIT_TEST(keepsTheRecordOfAnExecutorThatRegistersAgain);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +200,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"127.0.0.1:1"}, decodeRegistration(entry->value)->address);
     }
 
+    /** The executor may be cut off before it registers: the next owner would count on leases of the
+        usual term and start its tasks again too early. */
+    void recordsARestartBeforeTheExecutorRegisters()
+    {
+        executor().info.startedUnixMs = 1;
+        flush();
+        CPPUNIT_ASSERT(!recordedExecutor().mayHoldFormerLeases);
+        executor_report report;
+        report.startedUnixMs = 2;
+        m_scheduler.applyReport("e1", report, boot_clock::now(), boot_clock::now());
+        flush();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, recordedExecutor().startedUnixMs);
+        CPPUNIT_ASSERT(recordedExecutor().mayHoldFormerLeases);
+    }
+
     /** The next owner asks only recorded executors which runs they have. */
     void keepsTheRecordOfAnExecutorThatRegistersAgain()
     {
@@ -238,6 +254,11 @@
 
     [[nodiscard]] executor_entry &executor() { return *m_scheduler.executors().find("e1"); }
 
+    [[nodiscard]] executor_registration recordedExecutor() const
+    {
+        return decodeRegistration(m_store.find(store_keys::executor("e1"))->value).value();
+    }
+
     [[nodiscard]] job_state stateOf(const std::string &id) const
     {
         const keyspace_item *const item = m_store.find(store_keys::jobProgress(id));
--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -319,7 +319,8 @@
     }
     for (auto &[id, entry] : owner.scheduling.executors().all()) {
         entry.lastStoredEnd = entry.lastProcessedEnd;
-        if (entry.registered && !std::exchange(entry.ownershipRecorded, true))
+        const bool isNeeded = entry.registered || entry.info.mayHoldFormerLeases;
+        if (isNeeded && !std::exchange(entry.ownershipRecorded, true))
             m_recordedExecutors[id] = entry.info;
     }
     (void)owner.scheduling.takeEndedIncarnations();
