Owner: young executors found at a takeover may hold leases of a former clock

The record of a restart is missing where the former owner could not write it (the store was down, or it ended first).

An owner that has a predecessor now counts on such leases for as long as the age of an executor that it finds allows: start + 1 s for calls on their way + the longest lease. A new flag in the record still covers clocks that jump. formerLeaseEnd replaces a flag, so that a bound is not prolonged by a later first contact; calls that are in flight when a restart becomes known are covered by the same second.

--- a/src/azurelb/control/executor_registration_codec.cpp
+++ b/src/azurelb/control/executor_registration_codec.cpp
@@ -40,8 +40,8 @@
     json::object record{{"id", info.id},     {"address", info.address},
                         {"pool", info.pool}, {"zone", info.zone},
                         {"vm", info.vm},     {"born", info.startedUnixMs}};
-    if (info.mayHoldFormerLeases)
-        record["formerLeases"] = true;
+    if (info.hasRestarted)
+        record["restarted"] = true;
     return json::serialize(record);
 }
 
@@ -66,8 +66,8 @@
     if (born && !born->is_int64())
         return std::nullopt;
     info.startedUnixMs = born ? born->get_int64() : 0;
-    const json::value *const formerLeases = in.if_contains("formerLeases");
-    info.mayHoldFormerLeases = formerLeases && *formerLeases == json::value(true);
+    const json::value *const restarted = in.if_contains("restarted");
+    info.hasRestarted = restarted && *restarted == json::value(true);
     if (!isWellFormed(info))
         return std::nullopt;
     return info;
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -167,7 +167,7 @@
         m_services.executors.disconnect(info.id);
         m_channels.erase(info.id);
     }
-    m_scheduler.registerExecutor(info, boot_clock::now());
+    m_scheduler.registerExecutor(info, boot_clock::now(), ageAtTakeover(info));
     const executor_entry *const executor = m_scheduler.executors().find(info.id);
     if (executor && !executor->ownershipRecorded)
         m_writer.scheduleFlush();
@@ -181,6 +181,14 @@
     return !m_handedOver && m_gate.permits(kind, boot_clock::now());
 }
 
+/** Calls of an earlier owner for a former incarnation concern only executors that this one finds
+    when it takes over. */
+milliseconds owner::ageAtTakeover(const executor_registration &info) const
+{
+    const bool isKnown = info.startedUnixMs != 0 && m_hasPredecessor && !m_scheduling;
+    return isKnown ? unixNow() - milliseconds{info.startedUnixMs} : scheduler::unknownAge;
+}
+
 milliseconds owner::unixOffset() const
 {
     return unixNow() - boot_clock::now().time_since_epoch();
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -152,6 +152,7 @@
     void updateHold(boot_time now);
     void monitorLoad(boot_time now);
     [[nodiscard]] order_gate makeGate();
+    [[nodiscard]] std::chrono::milliseconds ageAtTakeover(const executor_registration &info) const;
     [[nodiscard]] std::chrono::milliseconds unixOffset() const;
 
     services m_services;
@@ -208,6 +209,8 @@
     boot_time m_heldSince{};
     /** Last pause of the event loop that was logged. */
     boot_time m_loggedPause{};
+    /** There may have been an owner before. */
+    bool m_hasPredecessor{true};
     /** The previous owner stopped its orders before this one was elected. */
     bool m_orderlyHandover{false};
     /** Time from the first event to the scheduling pass that handles it. */
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -67,6 +67,7 @@
                              const std::string last = read.error == keyspace_error::none
                                  ? read.items.front().value
                                  : std::string{};
+                             m_hasPredecessor = read.error != keyspace_error::missing;
                              m_orderlyHandover = last.ends_with(ownerStopped);
                              if (last.starts_with(ownerYielded))
                                  recordActiveOwner();
@@ -202,7 +203,7 @@
         logEvent(event::stored_value_damaged, {{"key", key}});
         return;
     }
-    m_scheduler.inheritExecutor(*info, boot_clock::now());
+    m_scheduler.inheritExecutor(*info, boot_clock::now(), ageAtTakeover(*info));
 }
 
 void owner::watchJobs()
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -120,7 +120,7 @@
 {
     for (const auto &[id, executor] : m_scheduler.executors().all()) {
         // The next owner must learn of a restart even if the executor doesn't register any more.
-        const bool isNeeded = executor.registered || executor.info.mayHoldFormerLeases;
+        const bool isNeeded = executor.registered || executor.info.hasRestarted;
         if (isNeeded && !executor.ownershipRecorded)
             m_units.push_back(
                 {{{}, {{store_keys::executor(id), encodeRegistration(executor.info), 0}}, {}},
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -96,6 +96,9 @@
     bool fullyReported{false};
     /** Start time of the incarnation before this one; 0 if this owner knew none. */
     std::int64_t formerStartedUnixMs{0};
+    /** Upper bound on the end of leases that were meant for a former incarnation and reached this
+        one. Its clock began anew, so it shortens them to the longest term only. */
+    boot_time formerLeaseEnd{};
     /** The last call to it failed. */
     bool unresponsive{false};
     /** Maintenance of its VM is imminent: it gets no new runs. */
--- a/src/azurelb/scheduling/executor_registration.hpp
+++ b/src/azurelb/scheduling/executor_registration.hpp
@@ -27,10 +27,8 @@
     std::chrono::milliseconds remaining{0};
     /** Start time, Unix time in milliseconds; differs after a restart under the same identifier. */
     std::int64_t startedUnixMs{0};
-    /** An owner gave orders to a former incarnation, whose leases may have reached this one: its
-        clock began anew, so it shortens them to the longest term only. Part of the owner's record;
-        executors don't register it. */
-    bool mayHoldFormerLeases{false};
+    /** An owner has seen it restart. Part of the owner's record; executors don't register it. */
+    bool hasRestarted{false};
 };
 
 } // namespace azurelb
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::string_view rackPrefix{"r"};
+/** Time after which a call no longer reaches an executor: the timeout of an order, and the
+    difference between two Unix clocks. */
+constexpr milliseconds maxCallDelay{1000};
 
 /** The labels name the executor's kind and its rack; rack names begin with r and a digit. */
 std::string rackOf(const std::vector<std::string> &labels)
@@ -33,7 +36,8 @@
     : m_options{options}
 { }
 
-executor_entry &executor_table::insert(const executor_registration &info, boot_time now)
+executor_entry &executor_table::insert(const executor_registration &info, boot_time now,
+                                       milliseconds age)
 {
     const auto [place, isNew] = m_executors.try_emplace(info.id);
     executor_entry &executor = place->second;
@@ -43,8 +47,9 @@
         executor.latestLeaseEnd = now + m_options.maxTimeSinceRenewal - m_options.ownerLeaseTerm
             + std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor)
             + m_options.leaseMargin;
-        if (info.mayHoldFormerLeases)
-            executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, longestLeaseEnd(now));
+        const milliseconds sinceStart = info.hasRestarted ? milliseconds{0} : age;
+        if (sinceStart < maxCallDelay + longestLease())
+            expectFormerLeases(executor, now - std::max(sinceStart, milliseconds{0}));
     }
     if (!isNew && executor.info.pool != info.pool) {
         removeFromPool(executor);
@@ -52,9 +57,9 @@
     }
     if (isNew || executor.info.pool != info.pool)
         m_pools[info.pool].push_back(&executor);
-    const bool mayHoldFormerLeases = executor.info.mayHoldFormerLeases || info.mayHoldFormerLeases;
+    const bool hasRestarted = executor.info.hasRestarted || info.hasRestarted;
     executor.info = info;
-    executor.info.mayHoldFormerLeases = mayHoldFormerLeases;
+    executor.info.hasRestarted = hasRestarted;
     executor.rack = rackOf(info.labels);
     executor.registered = true;
     return executor;
@@ -104,8 +109,8 @@
     executor.unresponsive = false;
     executor.clock = milliseconds{0};
     executor.clockReadAt = {};
-    executor.info.mayHoldFormerLeases = true;
-    executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, longestLeaseEnd(now));
+    executor.info.hasRestarted = true;
+    expectFormerLeases(executor, now);
     executor.lastProcessedEnd = 0;
     executor.lastStoredEnd = 0;
     executor.unreadJobs.clear();
@@ -161,19 +166,27 @@
         std::max(executor.latestLeaseEnd, executor.clockReadAt + term + m_options.leaseMargin);
 }
 
-/** Returns when a lease of the longest term that was granted by now is over. */
-boot_time executor_table::longestLeaseEnd(boot_time now) const noexcept
+milliseconds executor_table::longestLease() const noexcept
 {
-    return now + std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
+    return std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
         + m_options.leaseMargin;
 }
 
+/** Calls for the former incarnation may reach the executor until shortly after it has restarted, or
+    its restart is known. */
+void executor_table::expectFormerLeases(executor_entry &executor, boot_time since) const noexcept
+{
+    executor.formerLeaseEnd = since + maxCallDelay + longestLease();
+    executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, executor.formerLeaseEnd);
+}
+
 void executor_table::capEarlierLeases(executor_entry &executor, boot_time now) const noexcept
 {
-    const milliseconds longest =
-        executor.info.mayHoldFormerLeases ? m_options.maxLeaseTerm : m_options.leaseTerm;
-    const auto term = std::chrono::duration_cast<milliseconds>(longest * slowClockFactor);
-    executor.latestLeaseEnd = std::min(executor.latestLeaseEnd, now + term + m_options.leaseMargin);
+    const auto term =
+        std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor);
+    const boot_time usualEnd = now + term + m_options.leaseMargin;
+    executor.latestLeaseEnd =
+        std::min(executor.latestLeaseEnd, std::max(usualEnd, executor.formerLeaseEnd));
 }
 
 std::set<std::string> executor_table::pools() const
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -25,8 +25,10 @@
     explicit executor_table(const scheduling_options &options);
 
     /** Inserts or updates the executor. Call erase() or restart() before if an earlier incarnation
-        with the same identifier is known. */
-    executor_entry &insert(const executor_registration &info, boot_time now);
+        with the same identifier is known. A new entry of a young executor expects leases of a
+        former incarnation. */
+    executor_entry &insert(const executor_registration &info, boot_time now,
+                           std::chrono::milliseconds age);
 
     [[nodiscard]] executor_entry *find(const executor_id &id) noexcept;
     [[nodiscard]] const executor_entry *find(const executor_id &id) const noexcept;
@@ -78,7 +80,9 @@
 
 private:
     void removeFromPool(const executor_entry &executor);
-    [[nodiscard]] boot_time longestLeaseEnd(boot_time now) const noexcept;
+    /** Returns the longest local time for which an executor holds a lease. */
+    [[nodiscard]] std::chrono::milliseconds longestLease() const noexcept;
+    void expectFormerLeases(executor_entry &executor, boot_time since) const noexcept;
 
     scheduling_options m_options;
     std::unordered_map<executor_id, executor_entry> m_executors{};
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -100,7 +100,7 @@
     }
 }
 
-void scheduler::registerExecutor(const executor_registration &info, boot_time now)
+void scheduler::registerExecutor(const executor_registration &info, boot_time now, milliseconds age)
 {
     executor_entry *const known = m_executors.find(info.id);
     if (known && isOtherIncarnation(*known, info.startedUnixMs)) {
@@ -110,7 +110,7 @@
         else
             beginIncarnation(*known, info.startedUnixMs, now);
     }
-    m_executors.insert(info, now);
+    m_executors.insert(info, now, age);
     m_changedPools.insert(info.pool);
 }
 
@@ -135,9 +135,9 @@
     m_executors.restart(executor, startedUnixMs, now);
 }
 
-void scheduler::inheritExecutor(const executor_registration &info, boot_time now)
+void scheduler::inheritExecutor(const executor_registration &info, boot_time now, milliseconds age)
 {
-    executor_entry &executor = m_executors.insert(info, now);
+    executor_entry &executor = m_executors.insert(info, now, age);
     executor.inherited = true;
     executor.ownershipRecorded = true;
     executor.registered = false;
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -31,6 +31,9 @@
 class scheduler
 {
 public:
+    /** Age of an executor that doesn't tell when it has started; taken for old. */
+    static constexpr std::chrono::milliseconds unknownAge{std::chrono::milliseconds::max()};
+
     /** Run numbers start above runBase, which must exceed the runBase of every earlier owner. */
     scheduler(const scheduling_options &options, run_number runBase);
 
@@ -47,11 +50,14 @@
     void cancelJob(const job_id &id, boot_time now);
 
     /** Adds or updates an executor. A new incarnation ends the previous one, and with it the runs
-        that are known to be on the previous one. */
-    void registerExecutor(const executor_registration &info, boot_time now);
+        that are known to be on the previous one. The age is the time since its start by the Unix
+        clock. */
+    void registerExecutor(const executor_registration &info, boot_time now,
+                          std::chrono::milliseconds age = unknownAge);
 
     /** Adds an executor on which an earlier owner may have runs. */
-    void inheritExecutor(const executor_registration &info, boot_time now);
+    void inheritExecutor(const executor_registration &info, boot_time now,
+                         std::chrono::milliseconds age = unknownAge);
 
     /** Call when the registration has been removed from the store; runs continue while the executor
         answers. */
--- a/test/azurelb/control/control_test.cpp
+++ b/test/azurelb/control/control_test.cpp
@@ -206,13 +206,13 @@
     {
         executor().info.startedUnixMs = 1;
         flush();
-        CPPUNIT_ASSERT(!recordedExecutor().mayHoldFormerLeases);
+        CPPUNIT_ASSERT(!recordedExecutor().hasRestarted);
         executor_report report;
         report.startedUnixMs = 2;
         m_scheduler.applyReport("e1", report, boot_clock::now(), boot_clock::now());
         flush();
         CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, recordedExecutor().startedUnixMs);
-        CPPUNIT_ASSERT(recordedExecutor().mayHoldFormerLeases);
+        CPPUNIT_ASSERT(recordedExecutor().hasRestarted);
     }
 
     /** The next owner asks only recorded executors which runs they have. */
--- a/test/azurelb/scheduling/scheduler_fuzz_test.cpp
+++ b/test/azurelb/scheduling/scheduler_fuzz_test.cpp
@@ -48,23 +48,38 @@
     return "e" + std::to_string(index % executorCount);
 }
 
+/** What a sequence of commands is played on. */
+struct sequence_options
+{
+    /** Orders for an incarnation never reach the next one. */
+    bool peersIdentified{false};
+    /** Difference between the longest and the shortest task, which takes 200 ms. */
+    std::size_t durationSpreadMs{1500};
+    /** Time after the last command within which all jobs must end. */
+    milliseconds settlingTime{40'000};
+};
+
 /** Runs a sequence of commands on scheduler_simulation, which checks the invariants. */
 class command_sequence
 {
 public:
-    explicit command_sequence(bool peersIdentified)
+    explicit command_sequence(const sequence_options &options)
+        : m_options{options}
     {
-        m_simulation.setPeersIdentified(peersIdentified);
+        m_simulation.setPeersIdentified(options.peersIdentified);
         m_simulation.config.teams.front().limit = {24'000, 0, 0};
         m_simulation.currentScheduler().apply(m_simulation.config);
-        m_simulation.setPlan([](const task_id &task) {
-            const auto spread = std::hash<task_id>{}(task) % 1500;
+        m_simulation.setPlan([spreadMs = options.durationSpreadMs](const task_id &task) {
+            const auto spread = std::hash<task_id>{}(task) % spreadMs;
             const bool fails = std::hash<task_id>{}(task) % 11 == 0;
             return run_plan{milliseconds{200 + static_cast<int>(spread)},
                             fails ? run_end::failed : run_end::done};
         });
-        for (unsigned index = 0; index < executorCount; ++index)
+        for (unsigned index = 0; index < executorCount; ++index) {
             m_simulation.addExecutor(executorName(index), "pool", index == 0 ? 0.98 : 1.0);
+            m_simulation.executor(executorName(index)).maxLease =
+                optionsOfSimulation().maxLeaseTerm;
+        }
     }
 
     void play(action what, unsigned argument)
@@ -151,7 +166,7 @@
             m_simulation.cancel(each);
         for (unsigned index = 0; index < executorCount; ++index)
             m_simulation.setDisconnected(executorName(index), false);
-        m_simulation.advance(milliseconds{40'000});
+        m_simulation.advance(m_options.settlingTime);
     }
 
     void check()
@@ -183,9 +198,11 @@
     {
         scheduling_options options;
         options.maxListedEnds = 6;
+        options.maxLeaseTerm = milliseconds{10'000};
         return options;
     }
 
+    sequence_options m_options;
     scheduler_simulation m_simulation{optionsOfSimulation()};
     unsigned m_jobs{0};
     std::vector<job_id> m_longRunningJobs{};
@@ -196,20 +213,30 @@
     CPPUNIT_TEST_SUITE(scheduler_fuzz_test);
     CPPUNIT_TEST(invariantsHoldUnderFaults);
     CPPUNIT_TEST(invariantsHoldWhereOrdersReachOneIncarnation);
+    CPPUNIT_TEST(invariantsHoldForLongTasks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void invariantsHoldUnderFaults() { checkInvariants(false); }
+    void invariantsHoldUnderFaults() { checkInvariants({}); }
+
+    void invariantsHoldWhereOrdersReachOneIncarnation() { checkInvariants({true}); }
 
-    void invariantsHoldWhereOrdersReachOneIncarnation() { checkInvariants(true); }
+    /** Tasks outlast the leases that an owner assumes. */
+    void invariantsHoldForLongTasks()
+    {
+        constexpr std::size_t spreadMs{10'000};
+        constexpr milliseconds settlingTime{120'000};
+        checkInvariants({false, spreadMs, settlingTime});
+        checkInvariants({true, spreadMs, settlingTime});
+    }
 
 private:
-    static void checkInvariants(bool peersIdentified)
+    static void checkInvariants(const sequence_options &options)
     {
-        const bool held = rc::check("invariants hold", [peersIdentified] {
+        const bool held = rc::check("invariants hold", [&options] {
             const auto commands = *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
                 rc::gen::pair(rc::gen::inRange(0, actionCount), rc::gen::inRange(0U, 100'000U)));
-            command_sequence sequence{peersIdentified};
+            command_sequence sequence{options};
             for (const auto &[what, argument] : commands) {
                 sequence.play(static_cast<action>(what), argument);
                 sequence.check();
--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -56,14 +56,16 @@
     m_owner = std::make_unique<owner_model>(m_options, ++m_token);
     m_owner->scheduling.apply(config);
     for (const auto &[id, record] : m_recordedExecutors)
-        m_owner->scheduling.inheritExecutor(record, m_now);
+        m_owner->scheduling.inheritExecutor(
+            record, m_now,
+            record.startedUnixMs == incarnationOf(id) ? ageOf(id) : scheduler::unknownAge);
     for (const auto &[id, record] : m_records) {
         m_owner->scheduling.addJob(record, m_stored[id], 1, true, m_acceptedAt.at(id));
         if (m_cancelled.contains(id))
             m_owner->scheduling.cancelJob(id, m_now);
     }
     for (const auto &[id, executor] : m_executors)
-        m_owner->scheduling.registerExecutor(executor->info(), m_now);
+        m_owner->scheduling.registerExecutor(executor->info(), m_now, ageOf(id));
 }
 
 void scheduler_simulation::addExecutor(const std::string &id, const std::string &pool,
@@ -128,6 +130,7 @@
 {
     fake_executor &crashed = *m_executors.at(executor);
     crashed.crash(m_now);
+    m_restartedAt[executor] = m_now;
     m_owner->scheduling.registerExecutor(crashed.info(), m_now);
 }
 
@@ -135,9 +138,16 @@
                                             milliseconds registersAfter)
 {
     m_executors.at(executor)->crash(m_now);
+    m_restartedAt[executor] = m_now;
     m_lateRegistrations.push_back({m_now + registersAfter, executor});
 }
 
+milliseconds scheduler_simulation::ageOf(const std::string &executor) const
+{
+    const auto found = m_restartedAt.find(executor);
+    return found == m_restartedAt.end() ? scheduler::unknownAge : m_now - found->second;
+}
+
 void scheduler_simulation::registerRestarted()
 {
     std::erase_if(m_lateRegistrations, [this](const late_registration &each) {
@@ -173,6 +183,7 @@
     m_now += tick;
     for (const auto &[id, executor] : m_executors)
         executor->advance(m_now);
+    recordEnds();
     executeDelayedOrders();
     registerRestarted();
     if (m_readsConfigurationAt && m_now >= *m_readsConfigurationAt) {
@@ -319,7 +330,7 @@
     }
     for (auto &[id, entry] : owner.scheduling.executors().all()) {
         entry.lastStoredEnd = entry.lastProcessedEnd;
-        const bool isNeeded = entry.registered || entry.info.mayHoldFormerLeases;
+        const bool isNeeded = entry.registered || entry.info.hasRestarted;
         if (isNeeded && !std::exchange(entry.ownershipRecorded, true))
             m_recordedExecutors[id] = entry.info;
     }
@@ -366,6 +377,14 @@
     m_starts[order.task].push_back(m_now);
 }
 
+void scheduler_simulation::recordEnds()
+{
+    for (const auto &[id, executor] : m_executors) {
+        for (const ended_run &end : executor->ended())
+            m_runEndedAt.try_emplace(end.run, m_now);
+    }
+}
+
 void scheduler_simulation::recordAcknowledgedEnds()
 {
     for (const auto &[id, executor] : m_executors) {
@@ -375,6 +394,12 @@
             if (end.end != run_end::done)
                 continue;
             m_doneEnds[end.task].push_back(m_now);
+            const boot_time endedAt = m_runEndedAt.at(end.run);
+            const std::vector<boot_time> &starts = m_starts[end.task];
+            const bool again = std::any_of(starts.begin(), starts.end(),
+                                           [endedAt](boot_time each) { return each > endedAt; });
+            if (again && !m_records.at(end.task.job).steps.at(end.task.step).longRunning)
+                m_violations.push_back("acknowledged after a later start: " + toString(end.task));
         }
     }
 }
--- a/test/azurelb/scheduling/scheduler_simulation.hpp
+++ b/test/azurelb/scheduling/scheduler_simulation.hpp
@@ -122,8 +122,11 @@
     [[nodiscard]] std::int64_t incarnationOf(const std::string &executor) const;
     void executeDelayedOrders();
     void registerRestarted();
+    /** Returns the time since the executor's last restart. */
+    [[nodiscard]] std::chrono::milliseconds ageOf(const std::string &executor) const;
     void store(owner_model &owner);
     void checkStart(const start_order &order);
+    void recordEnds();
     void recordAcknowledgedEnds();
 
     scheduling_options m_options{};
@@ -147,9 +150,12 @@
     bool m_peersIdentified{false};
     std::vector<delayed_order> m_delayedDeliveries{};
     std::vector<late_registration> m_lateRegistrations{};
+    std::map<std::string, boot_time> m_restartedAt{};
     std::function<run_plan(const task_id &)> m_plan;
     std::map<task_id, std::vector<boot_time>> m_starts{};
     std::map<task_id, std::vector<boot_time>> m_doneEnds{};
+    /** When each run ended. */
+    std::map<run_number, boot_time> m_runEndedAt{};
     std::map<task_id, unsigned> m_recordedFailures{};
     std::vector<std::string> m_violations{};
 };
