Reports: acknowledgement and lease go only to the incarnation that they are meant for

Cause: two paths sent LastSeen and ExpiresMs of one incarnation to whoever answered. To an executor that closes each connection (closesConnections) they went out on a new connection without a look at who is there. To any other one, the open connection was looked up, and then http_client::call looked again and opened a new one if the old one had ended in between. A restarted executor discards ends that nobody has seen, and grants the longest lease, so that the task runs twice.

If another incarnation answers that, its report is the reply. A plain first report identifies its connection, too, so that an executor which keeps connections gets as many calls as before: one identification for each new connection (firstReportIdentifiesItsConnection). An executor that closes each gets pairs.

No test shows the race between the two looks, as nothing can be placed between them; there is one look now. The fixture sets the incarnation in its requests; its checks are as they were.

Open: an executor that closes each connection may restart between the identification and the request.

--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -30,6 +30,9 @@
     executor_id executor{};
     /** IP:PORT. */
     std::string address{};
+    /** Incarnation for which acknowledged and leaseEnd are meant: its start time in Unix
+        milliseconds; 0 if unknown. */
+    std::int64_t startedUnixMs{0};
     /** Sequence number up to which the executor may discard ended runs. */
     std::int64_t acknowledged{0};
     /** New end of the lease on the executor's clock; unchanged if empty. */
@@ -67,8 +70,8 @@
     /** Sets the fencing token of all later calls. */
     virtual void setToken(std::int64_t token) = 0;
 
-    /** On a new connection, which may reach another incarnation, acknowledgement and lease may be
-        left out once; the answer then comes without a wait. */
+    /** Sends acknowledgement and lease only to the incarnation that the request names. The report
+        of another one, which has got neither, is the reply; it comes without a wait. */
     virtual void report(const report_request &request, report_handler done) = 0;
     /** Sends the order only to the incarnation that it names; if another one answers, the outcome
         is start_outcome::restarted. Asks for the permission right before the order is sent; without
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -208,6 +208,7 @@
     report_request request;
     request.executor = id;
     request.address = executor->info.address;
+    request.startedUnixMs = executor->info.startedUnixMs;
     request.acknowledged = to.resetNumbering ? 0 : executor->lastStoredEnd;
     if (executor->contacted && !to.resetNumbering) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
--- a/test/platform/decoder_fuzz_test.cpp
+++ b/test/platform/decoder_fuzz_test.cpp
@@ -228,7 +228,7 @@
         check("reports", [this, &client] {
             serve(damage(reportText));
             std::optional<executor_reply> reply;
-            client.report({"e1", m_port.text(), 0, std::nullopt, {}},
+            client.report({"e1", m_port.text(), 0, 0, std::nullopt, {}},
                           [&reply](executor_reply &&got) { reply = std::move(got); });
             RC_ASSERT(runUntil(m_loop, [&reply] { return reply.has_value(); }));
             if (reply->outcome != report_outcome::reported)
--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -14,6 +14,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -92,6 +93,9 @@
     CPPUNIT_TEST(doesNotAcknowledgeToAnotherIncarnation);
     CPPUNIT_TEST(doesNotAcknowledgeAfterARestartBehindTheFirstReport);
     CPPUNIT_TEST(acknowledgesToAnExecutorThatClosesConnections);
+    CPPUNIT_TEST(doesNotAcknowledgeToAnotherIncarnationThatClosesConnections);
+    CPPUNIT_TEST(reportOfAnotherIncarnationIsTheReply);
+    CPPUNIT_TEST(firstReportIdentifiesItsConnection);
     CPPUNIT_TEST(startsRunsOnTheIncarnationOfTheOrder);
     CPPUNIT_TEST(startOrderDoesNotReachARestartedExecutor);
     CPPUNIT_TEST(waitingStartOrderDoesNotReachARestartedExecutor);
@@ -148,6 +152,57 @@
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
     }
 
+    /** Each report request goes out on a new connection, so that any of them may be the first to
+        reach the new incarnation, which would discard its ends and grant the longest lease. */
+    void doesNotAcknowledgeToAnotherIncarnationThatClosesConnections()
+    {
+        {
+            recording_executor former{m_loop, m_port.text(), {.keepsConnections = false}};
+            requestReports(2);
+        }
+        recording_executor executor{
+            m_loop, m_port.text(), {.keepsConnections = false, .startedUnixMs = secondIncarnation}};
+        requestReports(2);
+        for (std::size_t index = 0; index < executor.requests.size(); ++index) {
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, index));
+            CPPUNIT_ASSERT(!executor.requests.at(index).contains("ExpiresMs"));
+        }
+        requestReports(1, secondIncarnation);
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, executor.requests.size() - 1));
+        CPPUNIT_ASSERT(executor.requests.back().contains("ExpiresMs"));
+    }
+
+    /** The owner learns of the restart from it. */
+    void reportOfAnotherIncarnationIsTheReply()
+    {
+        for (const bool keepsConnections : {true, false}) {
+            {
+                recording_executor former{
+                    m_loop, m_port.text(), {.keepsConnections = keepsConnections}};
+                requestReports(2);
+            }
+            recording_executor executor{
+                m_loop,
+                m_port.text(),
+                {.keepsConnections = keepsConnections, .startedUnixMs = secondIncarnation}};
+            requestReports(1);
+            CPPUNIT_ASSERT_EQUAL(secondIncarnation, m_reported.startedUnixMs);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor.requests.size());
+        }
+    }
+
+    /** Each call to an executor is paid for. */
+    void firstReportIdentifiesItsConnection()
+    {
+        recording_executor executor{m_loop, m_port.text(), {}};
+        report_request first;
+        first.startedUnixMs = firstIncarnation;
+        requestReport(first);
+        requestReports(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, executor.requests.size());
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
+    }
+
     void startsRunsOnTheIncarnationOfTheOrder()
     {
         recording_executor executor{m_loop, m_port.text(), {}};
@@ -246,26 +301,34 @@
         return executor.requests.at(index).at("LastSeen").to_number<std::int64_t>();
     }
 
-    void requestReports(int count)
+    void requestReports(int count, std::int64_t incarnation = firstIncarnation)
     {
-        for (int index = 0; index < count; ++index) {
-            bool answered = false;
-            report_request request;
-            request.executor = "e1";
-            request.address = m_port.text();
-            request.acknowledged = acknowledged;
-            request.leaseEnd = milliseconds{3000};
-            m_client.report(request, [&answered](executor_reply &&reply) {
-                CPPUNIT_ASSERT(reply.outcome == report_outcome::reported);
-                answered = true;
-            });
-            CPPUNIT_ASSERT(runUntil(m_loop, [&answered] { return answered; }));
-        }
+        report_request request;
+        request.startedUnixMs = incarnation;
+        request.acknowledged = acknowledged;
+        request.leaseEnd = milliseconds{3000};
+        for (int index = 0; index < count; ++index)
+            requestReport(request);
+    }
+
+    void requestReport(report_request request)
+    {
+        request.executor = "e1";
+        request.address = m_port.text();
+        bool answered = false;
+        m_client.report(request, [this, &answered](executor_reply &&reply) {
+            CPPUNIT_ASSERT(reply.outcome == report_outcome::reported);
+            m_reported = std::move(reply.report);
+            answered = true;
+        });
+        CPPUNIT_ASSERT(runUntil(m_loop, [&answered] { return answered; }));
     }
 
     asio::io_context m_loop{};
     reserved_port m_port{};
     executor_client m_client{m_loop};
+    /** The last report. */
+    executor_report m_reported{};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(executor_client_test);
