--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -27,6 +27,8 @@
 
     /** Submits a random job and polls it until it ends. */
     void submitJob();
+    /** As submitJob(), with tasks that outlast a takeover. */
+    void submitLongJob();
 
     /** Number of jobs still being submitted or polled. */
     [[nodiscard]] std::size_t activeCount() const noexcept { return m_active; }
@@ -49,6 +51,11 @@
         bool cancels{false};
     };
 
+    /** Draws a job whose tasks last from the shortest time, in milliseconds, by less than the
+     * spread.
+     */
+    [[nodiscard]] planned_job drawJob(std::size_t shortest, std::size_t spread);
+    void submitAndFollow(planned_job plan, bool isLong);
     boost::asio::awaitable<void> follow(planned_job plan);
     boost::asio::awaitable<bool> submit(const planned_job &plan);
     boost::asio::awaitable<bool> cancel(const planned_job &plan);
