Soak: a report request acknowledges and renews once, when it is received

The stand-in applied LastSeen and ExpiresMs of a waiting report request again every 20 ms until it answered. For a request meant for the present incarnation this makes no difference: the ends up to LastSeen exist when it is received, and a lease never shortens. For one meant for a former incarnation it discarded ends that came later, and granted a lease of MaxHoldMs from the answer instead of the request. Checks are unchanged.

--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -261,10 +261,9 @@
     if (!in)
         co_return reply(http::status::bad_request, {}, m_model.clock(boot_clock::now()));
     const std::int64_t token = platform::integerOf(*in, "FencingToken").value_or(0);
-    const std::int64_t seen = platform::integerOf(*in, "LastSeen").value_or(0);
+    std::int64_t seen = platform::integerOf(*in, "LastSeen").value_or(0);
     const auto lease = platform::integerOf(*in, "ExpiresMs");
-    const auto leaseEnd =
-        lease ? std::optional{milliseconds{*lease}} : std::optional<milliseconds>{};
+    auto leaseEnd = lease ? std::optional{milliseconds{*lease}} : std::optional<milliseconds>{};
     const boot_time latest =
         boot_clock::now() + milliseconds{platform::integerOf(*in, "WaitMs").value_or(0)};
     if (seen > m_model.lastSequence() && !mayMistakeIncarnation(token, boot_clock::now()))
@@ -283,6 +282,9 @@
             m_audit.addViolation("an end was discarded that the incarnation has not listed: "
                                  + m_id);
         auditAcknowledged();
+        // Both apply once, when the request is received, not for as long as the response waits.
+        seen = 0;
+        leaseEnd.reset();
         if (!found)
             co_return reply(http::status::conflict, {{"Reason", "fence"}}, m_model.clock(now));
         if (found->ended.empty() && now < latest) {
