--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -51,6 +51,7 @@
     void report(const report_request &request, report_handler done) override
     {
         asked.insert(request.executor);
+        requests.push_back(request);
         if (silent || request.executor == silentExecutor) {
             boost::asio::post(m_loop, [done = std::move(done)] { done(executor_reply{}); });
             return;
@@ -63,7 +64,8 @@
                 reply.outcome = report_outcome::reported;
                 reply.report.clock = milliseconds{1000};
                 reply.report.startedUnixMs = startedUnixMs;
-                if (request.acknowledged < lastEnd.sequence)
+                acknowledged = std::max(acknowledged, request.acknowledged);
+                if (acknowledged < lastEnd.sequence)
                     reply.report.ended.push_back(lastEnd);
                 done(std::move(reply));
             });
@@ -86,12 +88,14 @@
     std::vector<queued_start> queue{};
     /** Executors from which a report was requested. */
     std::set<executor_id> asked{};
+    std::vector<report_request> requests{};
     std::int64_t startedUnixMs{1};
     /** Executors do not answer. */
     bool silent{false};
     executor_id silentExecutor{};
     /** End that is listed until it is acknowledged; none if its sequence is 0. */
     ended_run lastEnd{};
+    std::int64_t acknowledged{0};
 
 private:
     boost::asio::io_context &m_loop;
@@ -182,6 +186,8 @@
     CPPUNIT_TEST(withholdsAnOrderThatWaitedThroughAPause);
     CPPUNIT_TEST(withholdsAnOrderWhoseRunWasGivenUp);
     CPPUNIT_TEST(countsOrdersThatAnotherIncarnationCarriedOut);
+    CPPUNIT_TEST(orderThatMeetsAnotherIncarnationEndsAcknowledgementsToTheFormerOne);
+    CPPUNIT_TEST(eachEndIsAcknowledgedOnce);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -283,6 +289,45 @@
         CPPUNIT_ASSERT_EQUAL(1.0, counted.Value());
     }
 
+    /** The identification of an order shows the restart first, and a late report of the former
+        incarnation arrives after it. Acknowledgements and leases that go on in the numbers and
+        the clock of the former one may reach its successor. */
+    void orderThatMeetsAnotherIncarnationEndsAcknowledgementsToTheFormerOne()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::failed, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{400});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, m_gateway.requests.back().startedUnixMs);
+        executor_report report;
+        report.startedUnixMs = 2;
+        m_gateway.requests.clear();
+        m_gateway.queue.front().done({start_outcome::restarted, std::nullopt, report});
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(!m_gateway.requests.empty());
+        for (const report_request &each : m_gateway.requests) {
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, each.startedUnixMs);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, each.acknowledged);
+        }
+    }
+
+    /** A number that is sent again acknowledges ends that nobody has seen if it reaches another
+        incarnation. */
+    void eachEndIsAcknowledgedOnce()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::failed, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{1000});
+        const auto acknowledges = [](const report_request &each) {
+            return each.acknowledged != 0;
+        };
+        const auto &requests = m_gateway.requests;
+        CPPUNIT_ASSERT(requests.size() > 5);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                             std::count_if(requests.begin(), requests.end(), acknowledges));
+    }
+
     /** The same after a longer cut, in which the store removes the registration of the executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
