Owner: a report that identifies another incarnation counts; each end is acknowledged once

Callers saw tasks run twice. Cause: the report by which the connection of an order is identified was thrown away, so the owner went on to acknowledge ends and to renew leases in the numbers and the clock of an incarnation that it had seen replaced. And LastSeen stood in every request, so that any request that reached another incarnation discarded ends that nobody had seen; it now stands in one answered request for each new number.

Ruled out: to reset the channel on the outcome alone; a late report of the former incarnation would set it back. The report itself makes scheduler::applyReport ignore those.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -217,7 +217,9 @@
     request.executor = id;
     request.address = executor->info.address;
     request.startedUnixMs = executor->info.startedUnixMs;
-    request.acknowledged = to.resetNumbering ? 0 : executor->lastStoredEnd;
+    const bool acknowledges =
+        !to.resetNumbering && executor->lastStoredEnd > executor->lastAcknowledgedEnd;
+    request.acknowledged = acknowledges ? executor->lastStoredEnd : 0;
     if (executor->contacted && !to.resetNumbering) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
         m_scheduler.executors().recordLease(*executor, *request.leaseEnd);
@@ -225,9 +227,10 @@
     }
     to.reportPending = true;
     m_services.executors.report(
-        request, [this, id, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
+        request,
+        [this, request, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
             if (!alive.expired())
-                handleReport(id, std::move(reply), now);
+                handleReport(request, std::move(reply), now);
         });
 }
 
@@ -237,8 +240,9 @@
     callAfter(to.timer, pause, m_alive, [this, id] { requestReport(id); });
 }
 
-void owner::handleReport(const executor_id &id, executor_reply &&reply, boot_time askedAt)
+void owner::handleReport(const report_request &request, executor_reply &&reply, boot_time askedAt)
 {
+    const executor_id &id = request.executor;
     const auto found = m_channels.find(id);
     if (found == m_channels.end())
         return;
@@ -273,7 +277,10 @@
     m_scheduler.setJobsReadAt(m_jobWatcher->state().confirmedAt);
     m_scheduler.applyReport(id, reply.report, askedAt, now);
     scheduleAdvance();
-    const executor_entry *const executor = m_scheduler.executors().find(id);
+    executor_entry *const executor = m_scheduler.executors().find(id);
+    if (executor && executor->info.startedUnixMs == request.startedUnixMs)
+        executor->lastAcknowledgedEnd =
+            std::max(executor->lastAcknowledgedEnd, request.acknowledged);
     if (executor && m_scheduler.hasUndecidedRuns(*executor)) {
         requestReportAfter(id, undecidedReportDelay);
     } else if (executor && executor->lastProcessedEnd > executor->lastStoredEnd) {
@@ -415,6 +422,8 @@
     if (reply.outcome == start_outcome::started && reply.clock
         && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance)
         m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    if (reply.otherReport)
+        m_scheduler.applyReport(order.executor, *reply.otherReport, orderedAt, now);
     m_scheduler.applyStartOutcome(order, reply.outcome, now);
     if (reply.outcome != start_outcome::started)
         scheduleAdvance();
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -127,7 +127,7 @@
     void handleRegistration(const executor_registration &info);
     void requestReport(const executor_id &id);
     void requestReportAfter(const executor_id &id, std::chrono::milliseconds pause);
-    void handleReport(const executor_id &id, executor_reply &&reply, boot_time askedAt);
+    void handleReport(const report_request &request, executor_reply &&reply, boot_time askedAt);
     void scheduleAdvance();
     void advance();
     void retireEndedExecutors();
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -117,6 +117,8 @@
     std::int64_t lastProcessedEnd{0};
     /** Ends up to this sequence number are stored, so that the executor may discard them. */
     std::int64_t lastStoredEnd{0};
+    /** Ends up to this sequence number have been acknowledged in a call that was answered. */
+    std::int64_t lastAcknowledgedEnd{0};
     std::unordered_map<task_id, assignment> assignments{};
     /** Sum over the assignments. */
     resources used{};
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -113,6 +113,7 @@
     expectFormerLeases(executor, now);
     executor.lastProcessedEnd = 0;
     executor.lastStoredEnd = 0;
+    executor.lastAcknowledgedEnd = 0;
     executor.unreadJobs.clear();
     executor.undecidedReport = {};
     executor.consecutiveFailures = 0;
