Simulation: ends are acknowledged as the owner does it, once

The fuzz test without identified peers acknowledged every end in every report, which the owner no longer does.

--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -229,13 +229,17 @@
         leaseEnd = owner.scheduling.executors().leaseEnd(*entry, m_now);
         owner.scheduling.executors().recordLease(*entry, *leaseEnd);
     }
-    const std::int64_t acknowledged =
-        entry->unresponsive || !reachesKnown ? 0 : entry->lastStoredEnd;
+    const bool acknowledges =
+        !entry->unresponsive && reachesKnown && entry->lastStoredEnd > entry->lastAcknowledgedEnd;
+    const std::int64_t acknowledged = acknowledges ? entry->lastStoredEnd : 0;
+    const std::int64_t startedUnixMs = entry->info.startedUnixMs;
     const auto report = m_executors.at(id)->hold(owner.token, acknowledged, leaseEnd, m_now);
     if (!report)
         owner.fenced = true;
     else
         owner.scheduling.applyReport(id, *report, m_now, m_now);
+    if (report && report->startedUnixMs == startedUnixMs)
+        entry->lastAcknowledgedEnd = std::max(entry->lastAcknowledgedEnd, acknowledged);
 }
 
 void scheduler_simulation::sendOrder(owner_model &owner, const executor_order &order)
