Executors: a missing start time erases no known one and proves no incarnation

Cause: a report or an entry of the directory without `born` set the known incarnation to 0, after which the next incarnation didn't count as another one: its ends were taken for known ones, its clock for the former clock.

An executor that never names its start time is used as before (usesAnExecutorThatNeverNamesItsStartTime in both fixtures); its restarts still can't be told. One that first reports without and then with a start time has restarted; runs that it lists are adopted again.

--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -30,7 +30,13 @@
     executor_entry *const executor = m_executors.find(id);
     if (!executor)
         return;
-    if (isOtherIncarnation(*executor, report.startedUnixMs)) {
+    // Without a start time, the report may be that of any incarnation.
+    if (report.startedUnixMs == 0 && executor->info.startedUnixMs != 0)
+        return;
+    // A process names its start time in each of its reports or in none.
+    const bool namedLater =
+        executor->contacted && executor->info.startedUnixMs == 0 && report.startedUnixMs != 0;
+    if (namedLater || isOtherIncarnation(*executor, report.startedUnixMs)) {
         if (report.startedUnixMs == executor->formerStartedUnixMs)
             return;
         beginIncarnation(*executor, report.startedUnixMs, now);
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -48,7 +48,10 @@
         removeFromPool(executor);
     if (isNew || executor.info.pool != info.pool)
         m_pools[info.pool].push_back(&executor);
+    const std::int64_t knownStart = executor.info.startedUnixMs;
     executor.info = info;
+    if (info.startedUnixMs == 0)
+        executor.info.startedUnixMs = knownStart;
     executor.rack = rackOf(info.labels);
     executor.registered = true;
     return executor;
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -25,7 +25,7 @@
     explicit executor_table(const scheduling_options &options);
 
     /** Inserts or updates the executor. Call erase() or restart() before if an earlier incarnation
-        with the same identifier is known. */
+        with the same identifier is known. An unknown start time leaves a known one as it is. */
     executor_entry &insert(const executor_registration &info, boot_time now);
 
     [[nodiscard]] executor_entry *find(const executor_id &id) noexcept;
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -28,6 +28,10 @@
     CPPUNIT_TEST(restartsReportedRunsAtOnce);
     CPPUNIT_TEST(restartsUnreportedRunsAfterTheFirstReport);
     CPPUNIT_TEST(ignoresAReportOfTheFormerIncarnation);
+    CPPUNIT_TEST(reportWithoutAStartTimeChangesNothing);
+    CPPUNIT_TEST(registrationWithoutAStartTimeKeepsTheKnownOne);
+    CPPUNIT_TEST(startTimeNamedLaterIsAnotherIncarnation);
+    CPPUNIT_TEST(usesAnExecutorThatNeverNamesItsStartTime);
     CPPUNIT_TEST(placesNothingBeforeTheNewRegistration);
     CPPUNIT_TEST(newOwnerAdoptsRunsOfAnUnrecordedIncarnation);
     CPPUNIT_TEST(newOwnerWaitsForAnUnreachableIncarnation);
@@ -165,6 +169,65 @@
         CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
     }
 
+    /** The new incarnation would not count as another one, and its ends would be taken for ends
+        that are known already. */
+    void reportWithoutAStartTimeChangesNothing()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        scheduling.applyReport("e", report(1, {order.task, order.run, {}, 10, 0}), at(50), at(60));
+        scheduling.applyReport("e", report(0), at(100), at(110));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, scheduling.executors().find("e")->info.startedUnixMs);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+        scheduling.applyReport("e", report(2), at(150), at(160));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeEndedIncarnations().size());
+    }
+
+    void registrationWithoutAStartTimeKeepsTheKnownOne()
+    {
+        scheduler scheduling = makeScheduler();
+        executor_registration draining = registration(0);
+        draining.draining = true;
+        scheduling.registerExecutor(draining, at(100));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, scheduling.executors().find("e")->info.startedUnixMs);
+        CPPUNIT_ASSERT(scheduling.executors().find("e")->info.draining);
+        scheduling.applyReport("e", report(2), at(150), at(160));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeEndedIncarnations().size());
+    }
+
+    /** A process names its start time always or never. Runs that it lists are kept in any case. */
+    void startTimeNamedLaterIsAnotherIncarnation()
+    {
+        scheduler scheduling = makeScheduler(0);
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        const reported_run run{order.task, order.run, {}, 10, 0};
+        scheduling.applyReport("e", report(0, run), at(50), at(60));
+        scheduling.executors().find("e")->lastProcessedEnd = 5;
+        scheduling.applyReport("e", report(2, run), at(100), at(110));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, scheduling.executors().find("e")->lastProcessedEnd);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+    }
+
+    void usesAnExecutorThatNeverNamesItsStartTime()
+    {
+        scheduler scheduling = makeScheduler(0);
+        const start_order order = placeOne(scheduling);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, order.startedUnixMs);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        scheduling.registerExecutor(registration(0), at(40));
+        scheduling.applyReport("e", report(0, {order.task, order.run, {}, 10, 0}), at(50), at(60));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task)->reported);
+        CPPUNIT_ASSERT(scheduling.takeEndedIncarnations().empty());
+        executor_report last = report(0);
+        last.ended.push_back({1, order.task, order.run, run_end::done, {}});
+        scheduling.applyReport("e", last, at(70), at(80));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+        advance(scheduling, at(200));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+    }
+
     /** A new incarnation may be of another kind, with other labels and another capacity. */
     void placesNothingBeforeTheNewRegistration()
     {
@@ -322,13 +385,13 @@
     }
 
     /** Returns a scheduler whose only executor has reported that nothing runs on it. */
-    [[nodiscard]] scheduler makeScheduler() const
+    [[nodiscard]] scheduler makeScheduler(std::int64_t startedUnixMs = 1) const
     {
         scheduler made{scheduling_options{}, 1000};
         made.apply(m_simulation.config);
-        made.registerExecutor(registration(1), at(-100));
+        made.registerExecutor(registration(startedUnixMs), at(-100));
         made.executors().find("e")->ownershipRecorded = true;
-        made.applyReport("e", report(1), at(-60), at(-50));
+        made.applyReport("e", report(startedUnixMs), at(-60), at(-50));
         return made;
     }
 
--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -13,6 +13,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,8 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
+/** The executor leaves its start time out of what it says. */
+constexpr std::int64_t unnamedIncarnation{0};
 constexpr std::int64_t firstIncarnation{1};
 constexpr std::int64_t secondIncarnation{2};
 
@@ -71,10 +74,9 @@
             asio::steady_timer never{m_loop, std::chrono::hours{1}};
             co_await never.async_wait(asio::use_awaitable);
         }
-        json::object body{{"ClockMs", 5},
-                          {"Running", json::array{}},
-                          {"EndedRuns", json::array{}},
-                          {"born", m_behaviour.startedUnixMs}};
+        json::object body{{"ClockMs", 5}, {"Running", json::array{}}, {"EndedRuns", json::array{}}};
+        if (m_behaviour.startedUnixMs != unnamedIncarnation)
+            body["born"] = m_behaviour.startedUnixMs;
         http_response made = jsonResponse(isStart ? http::status::ok : m_behaviour.reportStatus,
                                           json::serialize(body));
         made.keep_alive(m_behaviour.keepsConnections);
@@ -102,6 +104,9 @@
     CPPUNIT_TEST(startsRunsOnTheNewIncarnation);
     CPPUNIT_TEST(startsRunsOnAnExecutorThatClosesConnections);
     CPPUNIT_TEST(refusalOfTheReportIsTheOutcomeOfTheOrder);
+    CPPUNIT_TEST(answerWithoutAStartTimeProvesNoIncarnation);
+    CPPUNIT_TEST(orderForAnUnknownIncarnationDoesNotReachAKnownOne);
+    CPPUNIT_TEST(usesAnExecutorThatNeverNamesItsStartTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -197,7 +202,7 @@
         recording_executor executor{m_loop, m_port.text(), {}};
         report_request first;
         first.startedUnixMs = firstIncarnation;
-        requestReport(first);
+        CPPUNIT_ASSERT(requestReport(first) == report_outcome::reported);
         requestReports(2);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, executor.requests.size());
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
@@ -271,6 +276,36 @@
         CPPUNIT_ASSERT(executor.starts.empty());
     }
 
+    /** It may come from a new incarnation, which gets neither orders nor acknowledgements for the
+        former one, and whose report would count for the former one. */
+    void answerWithoutAStartTimeProvesNoIncarnation()
+    {
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = unnamedIncarnation}};
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::restarted);
+        CPPUNIT_ASSERT(executor.starts.empty());
+        CPPUNIT_ASSERT(requestReport(makeRequest(firstIncarnation)) == report_outcome::no_answer);
+        for (std::size_t index = 0; index < executor.requests.size(); ++index)
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, index));
+        report_request plain;
+        plain.startedUnixMs = firstIncarnation;
+        CPPUNIT_ASSERT(requestReport(plain) == report_outcome::no_answer);
+    }
+
+    void orderForAnUnknownIncarnationDoesNotReachAKnownOne()
+    {
+        recording_executor executor{m_loop, m_port.text(), {}};
+        CPPUNIT_ASSERT(start(unnamedIncarnation) == start_outcome::restarted);
+        CPPUNIT_ASSERT(executor.starts.empty());
+    }
+
+    void usesAnExecutorThatNeverNamesItsStartTime()
+    {
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = unnamedIncarnation}};
+        CPPUNIT_ASSERT(start(unnamedIncarnation) == start_outcome::started);
+        requestReports(2, unnamedIncarnation);
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, executor.requests.size() - 1));
+    }
+
 private:
     static constexpr std::int64_t acknowledged{7};
 
@@ -302,26 +337,31 @@
     }
 
     void requestReports(int count, std::int64_t incarnation = firstIncarnation)
+    {
+        for (int index = 0; index < count; ++index)
+            CPPUNIT_ASSERT(requestReport(makeRequest(incarnation)) == report_outcome::reported);
+    }
+
+    [[nodiscard]] static report_request makeRequest(std::int64_t incarnation)
     {
         report_request request;
         request.startedUnixMs = incarnation;
         request.acknowledged = acknowledged;
         request.leaseEnd = milliseconds{3000};
-        for (int index = 0; index < count; ++index)
-            requestReport(request);
+        return request;
     }
 
-    void requestReport(report_request request)
+    [[nodiscard]] report_outcome requestReport(report_request request)
     {
         request.executor = "e1";
         request.address = m_port.text();
-        bool answered = false;
-        m_client.report(request, [this, &answered](executor_reply &&reply) {
-            CPPUNIT_ASSERT(reply.outcome == report_outcome::reported);
+        std::optional<report_outcome> outcome;
+        m_client.report(request, [this, &outcome](executor_reply &&reply) {
             m_reported = std::move(reply.report);
-            answered = true;
+            outcome = reply.outcome;
         });
-        CPPUNIT_ASSERT(runUntil(m_loop, [&answered] { return answered; }));
+        CPPUNIT_ASSERT(runUntil(m_loop, [&outcome] { return outcome.has_value(); }));
+        return *outcome;
     }
 
     asio::io_context m_loop{};
