--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -57,9 +57,10 @@
     }
     if (isNew || executor.info.pool != info.pool)
         m_pools[info.pool].push_back(&executor);
-    const bool hasRestarted = executor.info.hasRestarted || info.hasRestarted;
-    executor.info = info;
-    executor.info.hasRestarted = hasRestarted;
+    const executor_registration known = std::exchange(executor.info, info);
+    if (info.startedUnixMs == 0)
+        executor.info.startedUnixMs = known.startedUnixMs;
+    executor.info.hasRestarted = known.hasRestarted || info.hasRestarted;
     executor.rack = rackOf(info.labels);
     executor.registered = true;
     return executor;
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -25,8 +25,8 @@
     explicit executor_table(const scheduling_options &options);
 
     /** Inserts or updates the executor. Call erase() or restart() before if an earlier incarnation
-        with the same identifier is known. A new entry of a young executor expects leases of a
-        former incarnation. */
+        with the same identifier is known. An unknown start time leaves a known one as it is. A new
+        entry of a young executor expects leases of a former incarnation. */
     executor_entry &insert(const executor_registration &info, boot_time now,
                            std::chrono::milliseconds age);
 
