--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds reportPollInterval{20};
 /** Exceeds the longest wait for a report and its margin, so that the caller gives up first. */
 constexpr milliseconds abandonedRequestTime{4000};
+/** Time that a request to an executor that closes each connection takes. A restart in between makes
+    it reach the next incarnation. */
+constexpr milliseconds requestTransit{25};
 /** Time that a response takes to reach its caller, at most. */
 constexpr milliseconds responseTransit{250};
 /** On average, one run out of this number fails. */
@@ -203,6 +206,10 @@
 
 executor_endpoint::answer executor_endpoint::serve(const http_request &request)
 {
+    if (m_closesConnections) {
+        asio::steady_timer timer{m_loop, requestTransit};
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     const std::string target{request.target().data(), request.target().size()};
     if (request["X-Target-Instance"] != m_id)
         co_return reply(http::status::misdirected_request, {}, milliseconds{0});
