Owner: nothing is acknowledged or renewed behind an unanswered call

Cause: an executor restarts in the dark; start and stop orders time out, a late report of the former incarnation arrives, and the next report request carries LastSeen and ExpiresMs of the former incarnation on a connection that an intermediary has kept open.

Now any call without an answer makes the next report one that renews and acknowledges nothing, and only a report that was requested after it shows the incarnation. This was so for report requests alone, and any answer ended it.

Before: owner_test nothingIsRenewedBehindAnUnansweredOrder failed. After: all 35 cases of owner_test pass.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -218,9 +218,9 @@
     request.address = executor->info.address;
     request.startedUnixMs = executor->info.startedUnixMs;
     const bool acknowledges =
-        !to.resetNumbering && executor->lastStoredEnd > executor->lastAcknowledgedEnd;
+        to.incarnationKnown && executor->lastStoredEnd > executor->lastAcknowledgedEnd;
     request.acknowledged = acknowledges ? executor->lastStoredEnd : 0;
-    if (executor->contacted && !to.resetNumbering) {
+    if (executor->contacted && to.incarnationKnown) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
         m_scheduler.executors().recordLease(*executor, *request.leaseEnd);
         request.wait = reportWait(*executor);
@@ -266,14 +266,14 @@
         if (to.failures == 0 && m_scheduler.executors().find(id))
             logEvent(event::executor_silent, {{"executor", id}});
         to.failures = std::min(to.failures + 1, maxRetryFactor);
-        to.resetNumbering = true;
+        recordUnanswered(id, now);
         m_scheduler.markUnresponsive(id);
         requestReportAfter(id, silentRetryDelay * to.failures);
         scheduleAdvance();
         return;
     }
     to.failures = 0;
-    to.resetNumbering = false;
+    to.incarnationKnown = askedAt > to.unansweredAt;
     m_scheduler.setJobsReadAt(m_jobWatcher->state().confirmedAt);
     m_scheduler.applyReport(id, reply.report, askedAt, now);
     scheduleAdvance();
@@ -422,6 +422,8 @@
     if (reply.outcome == start_outcome::started && reply.clock
         && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance)
         m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    if (reply.outcome == start_outcome::unknown)
+        recordUnanswered(order.executor, now);
     if (reply.otherReport)
         m_scheduler.applyReport(order.executor, *reply.otherReport, orderedAt, now);
     m_scheduler.applyStartOutcome(order, reply.outcome, now);
@@ -429,6 +431,15 @@
         scheduleAdvance();
 }
 
+void owner::recordUnanswered(const executor_id &id, boot_time now)
+{
+    const auto found = m_channels.find(id);
+    if (found == m_channels.end())
+        return;
+    found->second->incarnationKnown = false;
+    found->second->unansweredAt = now;
+}
+
 void owner::send(const stop_order &order)
 {
     const executor_entry *const executor = m_scheduler.executors().find(order.executor);
@@ -442,9 +453,12 @@
     m_services.executors.stop(
         executor->info.address, order,
         [this, order, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
-            if (!alive.expired())
-                m_scheduler.applyStopOutcome(order, outcome == start_outcome::started,
-                                             boot_clock::now());
+            if (alive.expired())
+                return;
+            const boot_time now = boot_clock::now();
+            if (outcome == start_outcome::unknown)
+                recordUnanswered(order.executor, now);
+            m_scheduler.applyStopOutcome(order, outcome == start_outcome::started, now);
         });
 }
 
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -99,8 +99,10 @@
         bool reportPending{false};
         /** Consecutive requests without an answer, up to maxRetryFactor. */
         unsigned failures{0};
-        /** Ended runs may have been renumbered since the last answer. */
-        bool resetNumbering{true};
+        /** A report has shown the incarnation, and each later call was answered. */
+        bool incarnationKnown{false};
+        /** When a call last stayed without an answer. */
+        boot_time unansweredAt{};
         boost::asio::steady_timer timer;
 
         explicit channel(boost::asio::io_context &loop)
@@ -134,6 +136,9 @@
     void sendOrders();
     std::size_t logStarts(const executor_orders &orders, std::size_t index) const;
     void send(const start_order &order);
+    /** Call if an order was not answered: nothing is renewed or acknowledged until a report that is
+        requested later shows the executor's incarnation. */
+    void recordUnanswered(const executor_id &id, boot_time now);
     void handleStartReply(const start_order &order, const start_reply &reply, boot_time orderedAt);
     void send(const stop_order &order);
     void send(const cpu_share_order &order);
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -188,6 +188,7 @@
     CPPUNIT_TEST(countsOrdersThatAnotherIncarnationCarriedOut);
     CPPUNIT_TEST(orderThatMeetsAnotherIncarnationEndsAcknowledgementsToTheFormerOne);
     CPPUNIT_TEST(eachEndIsAcknowledgedOnce);
+    CPPUNIT_TEST(nothingIsRenewedBehindAnUnansweredOrder);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -328,6 +329,23 @@
                              std::count_if(requests.begin(), requests.end(), acknowledges));
     }
 
+    /** The executor may have restarted since. The answer to a report that was requested before the
+        order is no proof of the contrary. */
+    void nothingIsRenewedBehindAnUnansweredOrder()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{400});
+        CPPUNIT_ASSERT(m_gateway.requests.back().leaseEnd);
+        m_gateway.requests.clear();
+        m_gateway.queue.front().done({start_outcome::unknown});
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_gateway.requests.size() > 2);
+        CPPUNIT_ASSERT(!m_gateway.requests.front().leaseEnd);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_gateway.requests.front().acknowledged);
+        CPPUNIT_ASSERT(m_gateway.requests.back().leaseEnd);
+    }
+
     /** The same after a longer cut, in which the store removes the registration of the executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
