--- a/src/azurelb/control/executor_gateway.hpp
+++ b/src/azurelb/control/executor_gateway.hpp
@@ -72,8 +72,8 @@
     /** Sets the fencing token of all later calls. */
     virtual void setToken(std::int64_t token) = 0;
 
-    /** On a new connection, which may reach another incarnation, acknowledgement and lease may be
-        left out once; the answer then comes without a wait. */
+    /** Sends acknowledgement and lease only to the incarnation that the request names. The report
+        of another one, which has got neither, is the reply; it comes without a wait. */
     virtual void report(const report_request &request, report_handler done) = 0;
     /** Sends the order only to the incarnation that it names; if another one answers, the outcome
         is start_outcome::restarted. Asks for the permission right before the order is sent; without
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -188,7 +188,7 @@
         m_services.executors.disconnect(info.id);
         m_channels.erase(info.id);
     }
-    m_scheduler.registerExecutor(info, boot_clock::now());
+    m_scheduler.registerExecutor(info, boot_clock::now(), ageAtTakeover(info));
     const executor_entry *const executor = m_scheduler.executors().find(info.id);
     if (executor && !executor->ownershipRecorded)
         m_writer.scheduleFlush();
@@ -202,6 +202,14 @@
     return !m_handedOver && m_gate.permits(kind, boot_clock::now());
 }
 
+/** Calls of an earlier owner for a former incarnation concern only executors that this one finds
+    when it takes over. */
+milliseconds owner::ageAtTakeover(const executor_registration &info) const
+{
+    const bool isKnown = info.startedUnixMs != 0 && m_hasPredecessor && !m_scheduling;
+    return isKnown ? unixNow() - milliseconds{info.startedUnixMs} : scheduler::unknownAge;
+}
+
 milliseconds owner::unixOffset() const
 {
     return unixNow() - boot_clock::now().time_since_epoch();
@@ -230,14 +238,20 @@
     request.executor = id;
     request.address = executor->info.address;
     request.startedUnixMs = executor->info.startedUnixMs;
-    request.acknowledged = to.resetNumbering ? 0 : executor->lastStoredEnd;
-    if (executor->contacted && !to.resetNumbering) {
+    const bool acknowledges =
+        to.incarnationKnown && executor->lastStoredEnd > executor->lastAcknowledgedEnd;
+    request.acknowledged = acknowledges ? executor->lastStoredEnd : 0;
+    if (executor->contacted && to.incarnationKnown) {
         request.leaseEnd = m_scheduler.executors().leaseEnd(*executor, now);
         m_scheduler.executors().recordLease(*executor, *request.leaseEnd);
         request.wait = reportWait(*executor);
     }
     to.reportPending = true;
-    noteAcknowledgement(to, request);
+    if (acknowledges && mayLog(event::ends_acknowledged))
+        logEvent(event::ends_acknowledged,
+                 {{"executor", request.executor},
+                  {"born", request.startedUnixMs},
+                  {"up_to", request.acknowledged}});
     m_services.executors.report(
         request,
         [this, request, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
@@ -246,29 +260,11 @@
         });
 }
 
-void owner::noteAcknowledgement(channel &to, const report_request &request)
-{
-    if (to.acknowledgedTo != request.startedUnixMs) {
-        to.acknowledgedTo = request.startedUnixMs;
-        to.acknowledged = 0;
-    }
-    if (request.acknowledged <= to.acknowledged)
-        return;
-    to.acknowledged = request.acknowledged;
-    if (mayLog(event::ends_acknowledged))
-        logEvent(event::ends_acknowledged,
-                 {{"executor", request.executor},
-                  {"born", request.startedUnixMs},
-                  {"up_to", request.acknowledged}});
-}
-
-void owner::checkReached(channel &to, const report_request &request, const executor_reply &reply)
+void owner::checkReached(const report_request &request, const executor_reply &reply)
 {
     const bool hasContent = request.acknowledged != 0 || request.leaseEnd;
     if (!hasContent || reply.outcome != report_outcome::reported)
         return;
-    if (reply.reduced)
-        to.acknowledged = 0;
     const std::int64_t answered = reply.report.startedUnixMs;
     const bool isOther =
         request.startedUnixMs != 0 && answered != 0 && answered != request.startedUnixMs;
@@ -314,19 +310,22 @@
                        request.leaseEnd ? std::to_string(request.leaseEnd->count())
                                         : std::string{"none"}}});
         to.failures = std::min(to.failures + 1, maxRetryFactor);
-        to.resetNumbering = true;
+        recordUnanswered(id, now);
         m_scheduler.markUnresponsive(id);
         requestReportAfter(id, silentRetryDelay * to.failures);
         scheduleAdvance();
         return;
     }
     to.failures = 0;
-    to.resetNumbering = false;
-    checkReached(to, request, reply);
+    to.incarnationKnown = askedAt > to.unansweredAt;
+    checkReached(request, reply);
     m_scheduler.setJobsReadAt(m_jobWatcher->state().confirmedAt);
     m_scheduler.applyReport(id, reply.report, askedAt, now);
     scheduleAdvance();
-    const executor_entry *const executor = m_scheduler.executors().find(id);
+    executor_entry *const executor = m_scheduler.executors().find(id);
+    if (executor && executor->info.startedUnixMs == request.startedUnixMs)
+        executor->lastAcknowledgedEnd =
+            std::max(executor->lastAcknowledgedEnd, request.acknowledged);
     if (executor && m_scheduler.hasUndecidedRuns(*executor)) {
         requestReportAfter(id, undecidedReportDelay);
     } else if (executor && executor->lastProcessedEnd > executor->lastStoredEnd) {
@@ -498,11 +497,24 @@
     if (reply.outcome == start_outcome::started && reply.clock
         && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance)
         m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    if (reply.outcome == start_outcome::unknown)
+        recordUnanswered(order.executor, now);
+    if (reply.otherReport)
+        m_scheduler.applyReport(order.executor, *reply.otherReport, orderedAt, now);
     m_scheduler.applyStartOutcome(order, reply.outcome, now);
     if (reply.outcome != start_outcome::started)
         scheduleAdvance();
 }
 
+void owner::recordUnanswered(const executor_id &id, boot_time now)
+{
+    const auto found = m_channels.find(id);
+    if (found == m_channels.end())
+        return;
+    found->second->incarnationKnown = false;
+    found->second->unansweredAt = now;
+}
+
 void owner::send(const stop_order &order)
 {
     const executor_entry *const executor = m_scheduler.executors().find(order.executor);
@@ -516,9 +528,12 @@
     m_services.executors.stop(
         executor->info.address, order,
         [this, order, alive = std::weak_ptr<bool>{m_alive}](start_outcome outcome) {
-            if (!alive.expired())
-                m_scheduler.applyStopOutcome(order, outcome == start_outcome::started,
-                                             boot_clock::now());
+            if (alive.expired())
+                return;
+            const boot_time now = boot_clock::now();
+            if (outcome == start_outcome::unknown)
+                recordUnanswered(order.executor, now);
+            m_scheduler.applyStopOutcome(order, outcome == start_outcome::started, now);
         });
 }
 
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -99,11 +99,10 @@
         bool reportPending{false};
         /** Consecutive requests without an answer, up to maxRetryFactor. */
         unsigned failures{0};
-        /** Ended runs may have been renumbered since the last answer. */
-        bool resetNumbering{true};
-        /** Incarnation to which ends were last acknowledged, and up to which number. */
-        std::int64_t acknowledgedTo{0};
-        std::int64_t acknowledged{0};
+        /** A report has shown the incarnation, and each later call was answered. */
+        bool incarnationKnown{false};
+        /** When a call last stayed without an answer. */
+        boot_time unansweredAt{};
         boost::asio::steady_timer timer;
 
         explicit channel(boost::asio::io_context &loop)
@@ -130,11 +129,9 @@
     void handleRegistration(const executor_registration &info);
     void requestReport(const executor_id &id);
     void requestReportAfter(const executor_id &id, std::chrono::milliseconds pause);
-    /** Logs that ends are acknowledged, if more are than before. */
-    static void noteAcknowledgement(channel &to, const report_request &request);
     /** Logs if the acknowledgement or lease of a report request was not sent, or has reached
         another incarnation than the one for which it was meant. */
-    void checkReached(channel &to, const report_request &request, const executor_reply &reply);
+    void checkReached(const report_request &request, const executor_reply &reply);
     void handleReport(const report_request &request, executor_reply &&reply, boot_time askedAt);
     void scheduleAdvance();
     void advance();
@@ -142,6 +139,9 @@
     void sendOrders();
     std::size_t logStarts(const executor_orders &orders, std::size_t index) const;
     void send(const start_order &order);
+    /** Call if an order was not answered: nothing is renewed or acknowledged until a report that is
+        requested later shows the executor's incarnation. */
+    void recordUnanswered(const executor_id &id, boot_time now);
     void handleStartReply(const start_order &order, const start_reply &reply, boot_time orderedAt);
     void send(const stop_order &order);
     void send(const cpu_share_order &order);
@@ -161,6 +161,7 @@
     void updateHold(boot_time now);
     void monitorLoad(boot_time now);
     [[nodiscard]] order_gate makeGate();
+    [[nodiscard]] std::chrono::milliseconds ageAtTakeover(const executor_registration &info) const;
     [[nodiscard]] std::chrono::milliseconds unixOffset() const;
 
     services m_services;
@@ -217,6 +218,8 @@
     boot_time m_heldSince{};
     /** Last pause of the event loop that was logged. */
     boot_time m_loggedPause{};
+    /** There may have been an owner before. */
+    bool m_hasPredecessor{true};
     /** The previous owner stopped its orders before this one was elected. */
     bool m_orderlyHandover{false};
     /** Time from the first event to the scheduling pass that handles it. */
