--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -96,9 +96,9 @@
     bool fullyReported{false};
     /** Start time of the incarnation before this one; 0 if this owner knew none. */
     std::int64_t formerStartedUnixMs{0};
-    /** Leases meant for the clock of a former incarnation may have reached this one, whose clock
-        began anew: it shortens them to the longest term only. */
-    bool mayHoldFormerLeases{false};
+    /** Upper bound on the end of leases that were meant for a former incarnation and reached this
+        one. Its clock began anew, so it shortens them to the longest term only. */
+    boot_time formerLeaseEnd{};
     /** The last call to it failed. */
     bool unresponsive{false};
     /** Maintenance of its VM is imminent: it gets no new runs. */
@@ -117,6 +117,8 @@
     std::int64_t lastProcessedEnd{0};
     /** Ends up to this sequence number are stored, so that the executor may discard them. */
     std::int64_t lastStoredEnd{0};
+    /** Ends up to this sequence number have been acknowledged in a call that was answered. */
+    std::int64_t lastAcknowledgedEnd{0};
     std::unordered_map<task_id, assignment> assignments{};
     /** Sum over the assignments. */
     resources used{};
--- a/src/azurelb/scheduling/executor_registration.hpp
+++ b/src/azurelb/scheduling/executor_registration.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds remaining{0};
     /** Start time, Unix time in milliseconds; differs after a restart under the same identifier. */
     std::int64_t startedUnixMs{0};
+    /** An owner has seen it restart. Part of the owner's record; executors don't register it. */
+    bool hasRestarted{false};
 };
 
 } // namespace azurelb
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -53,6 +53,7 @@
     void report(const report_request &request, report_handler done) override
     {
         asked.insert(request.executor);
+        requests.push_back(request);
         if (silent || request.executor == silentExecutor) {
             boost::asio::post(m_loop, [done = std::move(done)] { done(executor_reply{}); });
             return;
@@ -66,9 +67,13 @@
                 reply.report.clock = milliseconds{1000};
                 reply.report.startedUnixMs = startedUnixMs;
                 reply.reduced = reduced;
-                if (request.acknowledged < lastEnd.sequence)
+                acknowledged = std::max(acknowledged, request.acknowledged);
+                const bool lists = acknowledged < lastEnd.sequence;
+                if (lists)
                     reply.report.ended.push_back(lastEnd);
                 done(std::move(reply));
+                if (lists && onListedEnd)
+                    onListedEnd();
             });
     }
 
@@ -89,6 +94,7 @@
     std::vector<queued_start> queue{};
     /** Executors from which a report was requested. */
     std::set<executor_id> asked{};
+    std::vector<report_request> requests{};
     std::int64_t startedUnixMs{1};
     /** Report requests are sent without acknowledgement and lease. */
     bool reduced{false};
@@ -97,6 +103,9 @@
     executor_id silentExecutor{};
     /** End that is listed until it is acknowledged; none if its sequence is 0. */
     ended_run lastEnd{};
+    std::int64_t acknowledged{0};
+    /** Called after an answer that lists an end. */
+    std::function<void()> onListedEnd{};
 
 private:
     boost::asio::io_context &m_loop;
@@ -187,6 +196,9 @@
     CPPUNIT_TEST(withholdsAnOrderThatWaitedThroughAPause);
     CPPUNIT_TEST(withholdsAnOrderWhoseRunWasGivenUp);
     CPPUNIT_TEST(countsOrdersThatAnotherIncarnationCarriedOut);
+    CPPUNIT_TEST(orderThatMeetsAnotherIncarnationEndsAcknowledgementsToTheFormerOne);
+    CPPUNIT_TEST(eachEndIsAcknowledgedOnce);
+    CPPUNIT_TEST(nothingIsRenewedBehindAnUnansweredOrder);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -300,6 +312,62 @@
         CPPUNIT_ASSERT_EQUAL(1.0, counted.Value());
     }
 
+    /** The identification of an order shows the restart first, and a late report of the former
+        incarnation arrives after it. Acknowledgements and leases that go on in the numbers and
+        the clock of the former one may reach its successor. */
+    void orderThatMeetsAnotherIncarnationEndsAcknowledgementsToTheFormerOne()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::failed, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{400});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, m_gateway.requests.back().startedUnixMs);
+        executor_report report;
+        report.startedUnixMs = 2;
+        m_gateway.requests.clear();
+        m_gateway.queue.front().done({start_outcome::restarted, std::nullopt, report});
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(!m_gateway.requests.empty());
+        for (const report_request &each : m_gateway.requests) {
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, each.startedUnixMs);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, each.acknowledged);
+        }
+    }
+
+    /** A number that is sent again acknowledges ends that nobody has seen if it reaches another
+        incarnation. */
+    void eachEndIsAcknowledgedOnce()
+    {
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::failed, {}};
+        startOwner();
+        registerExecutor();
+        run(milliseconds{1000});
+        const auto acknowledges = [](const report_request &each) {
+            return each.acknowledged != 0;
+        };
+        const auto &requests = m_gateway.requests;
+        CPPUNIT_ASSERT(requests.size() > 5);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                             std::count_if(requests.begin(), requests.end(), acknowledges));
+    }
+
+    /** The executor may have restarted since. The answer to a report that was requested before the
+        order is no proof of the contrary. */
+    void nothingIsRenewedBehindAnUnansweredOrder()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{400});
+        CPPUNIT_ASSERT(m_gateway.requests.back().leaseEnd);
+        m_gateway.requests.clear();
+        m_gateway.queue.front().done({start_outcome::unknown});
+        run(milliseconds{300});
+        CPPUNIT_ASSERT(m_gateway.requests.size() > 2);
+        CPPUNIT_ASSERT(!m_gateway.requests.front().leaseEnd);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_gateway.requests.front().acknowledged);
+        CPPUNIT_ASSERT(m_gateway.requests.back().leaseEnd);
+    }
+
     /** The same after a longer cut, in which the store removes the registration of the executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
@@ -780,12 +848,14 @@
         would discard its own ends up to that number. */
     void reportOnAnotherIncarnationIsLogged()
     {
-        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
         startOwner();
         registerExecutor();
         run(milliseconds{600});
         CPPUNIT_ASSERT(m_log->linesOf("927 report_on_other_incarnation").empty());
-        m_gateway.startedUnixMs = 2;
+        m_gateway.onListedEnd = [this] {
+            m_gateway.startedUnixMs = 2;
+        };
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
         run(milliseconds{300});
         const std::string line = onlyLine("927 report_on_other_incarnation");
         CPPUNIT_ASSERT_EQUAL(std::string{executorName}, fieldOf(line, "executor"));
@@ -820,11 +890,13 @@
     /** A request without an answer may have been carried out. */
     void silentExecutorIsLoggedWithWhatItMayHaveGot()
     {
-        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
         startOwner();
         registerExecutor();
         run(milliseconds{600});
-        m_gateway.silent = true;
+        m_gateway.onListedEnd = [this] {
+            m_gateway.silent = true;
+        };
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
         run(milliseconds{300});
         const std::string line = onlyLine("920 executor_silent");
         CPPUNIT_ASSERT_EQUAL(std::string{"1"}, fieldOf(line, "born"));
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -28,12 +29,18 @@
     CPPUNIT_TEST(restartsReportedRunsAtOnce);
     CPPUNIT_TEST(restartsUnreportedRunsAfterTheFirstReport);
     CPPUNIT_TEST(ignoresAReportOfTheFormerIncarnation);
+    CPPUNIT_TEST(reportWithoutAStartTimeChangesNothing);
+    CPPUNIT_TEST(registrationWithoutAStartTimeKeepsTheKnownOne);
+    CPPUNIT_TEST(startTimeNamedLaterIsAnotherIncarnation);
+    CPPUNIT_TEST(usesAnExecutorThatNeverNamesItsStartTime);
     CPPUNIT_TEST(placesNothingBeforeTheNewRegistration);
     CPPUNIT_TEST(newOwnerAdoptsRunsOfAnUnrecordedIncarnation);
     CPPUNIT_TEST(newOwnerWaitsForAnUnreachableIncarnation);
     CPPUNIT_TEST(leaseOfTheFormerClockLastsUpToTheLongestTerm);
     CPPUNIT_TEST(orderOfADroppedRunIsNotPending);
     CPPUNIT_TEST(newOwnerDoesNotRepeatRunsOfARestartedExecutor);
+    CPPUNIT_TEST(newOwnerWaitsForLeasesOfTheFormerClock);
+    CPPUNIT_TEST(newOwnerCountsOnLeasesOfTheFormerClockAfterItsFirstReport);
     CPPUNIT_TEST(orderThatMeetsARestartedExecutorGoesElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -165,6 +172,65 @@
         CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
     }
 
+    /** The new incarnation would not count as another one, and its ends would be taken for ends
+        that are known already. */
+    void reportWithoutAStartTimeChangesNothing()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        scheduling.applyReport("e", report(1, {order.task, order.run, {}, 10, 0}), at(50), at(60));
+        scheduling.applyReport("e", report(0), at(100), at(110));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, scheduling.executors().find("e")->info.startedUnixMs);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+        scheduling.applyReport("e", report(2), at(150), at(160));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeEndedIncarnations().size());
+    }
+
+    void registrationWithoutAStartTimeKeepsTheKnownOne()
+    {
+        scheduler scheduling = makeScheduler();
+        executor_registration draining = registration(0);
+        draining.draining = true;
+        scheduling.registerExecutor(draining, at(100));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, scheduling.executors().find("e")->info.startedUnixMs);
+        CPPUNIT_ASSERT(scheduling.executors().find("e")->info.draining);
+        scheduling.applyReport("e", report(2), at(150), at(160));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduling.takeEndedIncarnations().size());
+    }
+
+    /** A process names its start time always or never. Runs that it lists are kept in any case. */
+    void startTimeNamedLaterIsAnotherIncarnation()
+    {
+        scheduler scheduling = makeScheduler(0);
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        const reported_run run{order.task, order.run, {}, 10, 0};
+        scheduling.applyReport("e", report(0, run), at(50), at(60));
+        scheduling.executors().find("e")->lastProcessedEnd = 5;
+        scheduling.applyReport("e", report(2, run), at(100), at(110));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, scheduling.executors().find("e")->lastProcessedEnd);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+    }
+
+    void usesAnExecutorThatNeverNamesItsStartTime()
+    {
+        scheduler scheduling = makeScheduler(0);
+        const start_order order = placeOne(scheduling);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, order.startedUnixMs);
+        scheduling.applyStartOutcome(order, start_outcome::started, at(10));
+        scheduling.registerExecutor(registration(0), at(40));
+        scheduling.applyReport("e", report(0, {order.task, order.run, {}, 10, 0}), at(50), at(60));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task)->reported);
+        CPPUNIT_ASSERT(scheduling.takeEndedIncarnations().empty());
+        executor_report last = report(0);
+        last.ended.push_back({1, order.task, order.run, run_end::done, {}});
+        scheduling.applyReport("e", last, at(70), at(80));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+        advance(scheduling, at(200));
+        CPPUNIT_ASSERT(scheduling.takeOrders().empty());
+    }
+
     /** A new incarnation may be of another kind, with other labels and another capacity. */
     void placesNothingBeforeTheNewRegistration()
     {
@@ -248,31 +314,33 @@
         assumes, and the tasks would run twice. */
     void newOwnerDoesNotRepeatRunsOfARestartedExecutor()
     {
-        scheduling_options options;
-        options.maxLeaseTerm = milliseconds{10'000};
-        scheduler_simulation simulation{options};
-        simulation.setPeersIdentified(true);
-        simulation.setPlan([](const task_id &) {
-            return run_plan{milliseconds{20'000}, run_end::done};
-        });
-        for (const char *const each : {"e1", "e2"}) {
-            simulation.addExecutor(each);
-            simulation.executor(each).maxLease = options.maxLeaseTerm;
-        }
-        // The clock of the former incarnation is far ahead of that of the new one.
-        simulation.advance(milliseconds{20'000});
-        simulation.submit(makeJob(firstJob, 1));
-        simulation.advance(milliseconds{500});
-        const std::string used = simulation.executor("e1").running().empty() ? "e2" : "e1";
-        simulation.restartUnnoticed(used);
-        simulation.submit(makeJob(jobA, 4));
-        simulation.advance(milliseconds{1500});
-        simulation.replaceOwner();
-        simulation.setDisconnected(used, true);
-        simulation.advance(milliseconds{12'000});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, simulation.violations().size());
-        for (std::uint32_t index = 0; index < 4; ++index)
-            CPPUNIT_ASSERT(simulation.startsOf({jobA, 0, 0, index}) >= 1);
+        restartUnderLongTasks(true);
+        m_long->replaceOwner();
+        m_long->setDisconnected(m_used, true);
+        m_long->advance(milliseconds{12'000});
+        assertLongTasksRanOnce();
+    }
+
+    /** As above, but orders for the former incarnation reach the new one, as an intermediary has
+        kept the connection open. */
+    void newOwnerWaitsForLeasesOfTheFormerClock()
+    {
+        restartUnderLongTasks(false);
+        m_long->replaceOwner();
+        m_long->setDisconnected(m_used, true);
+        m_long->advance(milliseconds{12'000});
+        assertLongTasksRanOnce();
+    }
+
+    /** A report shows the runs, but not how long their lease lasts. */
+    void newOwnerCountsOnLeasesOfTheFormerClockAfterItsFirstReport()
+    {
+        restartUnderLongTasks(false);
+        m_long->replaceOwner();
+        m_long->advance(milliseconds{20});
+        m_long->setDisconnected(m_used, true);
+        m_long->advance(milliseconds{12'000});
+        assertLongTasksRanOnce();
     }
 
     void orderThatMeetsARestartedExecutorGoesElsewhere()
@@ -322,13 +390,13 @@
     }
 
     /** Returns a scheduler whose only executor has reported that nothing runs on it. */
-    [[nodiscard]] scheduler makeScheduler() const
+    [[nodiscard]] scheduler makeScheduler(std::int64_t startedUnixMs = 1) const
     {
         scheduler made{scheduling_options{}, 1000};
         made.apply(m_simulation.config);
-        made.registerExecutor(registration(1), at(-100));
+        made.registerExecutor(registration(startedUnixMs), at(-100));
         made.executors().find("e")->ownershipRecorded = true;
-        made.applyReport("e", report(1), at(-60), at(-50));
+        made.applyReport("e", report(startedUnixMs), at(-60), at(-50));
         return made;
     }
 
@@ -363,7 +431,43 @@
             CPPUNIT_ASSERT_EQUAL(times, m_simulation.startsOf({job, 0, 0, index}));
     }
 
+    /** Restarts one of two executors unnoticed, lets tasks of 20 s be ordered on it, and passes the
+        time until it has registered and is recorded. */
+    void restartUnderLongTasks(bool peersIdentified)
+    {
+        scheduling_options options;
+        options.maxLeaseTerm = milliseconds{10'000};
+        m_long = std::make_unique<scheduler_simulation>(options);
+        m_long->setPeersIdentified(peersIdentified);
+        m_long->setPlan([](const task_id &) {
+            return run_plan{milliseconds{20'000}, run_end::done};
+        });
+        for (const char *const each : {"e1", "e2"}) {
+            m_long->addExecutor(each);
+            m_long->executor(each).maxLease = options.maxLeaseTerm;
+        }
+        // The clock of the former incarnation is far ahead of that of the new one.
+        m_long->advance(milliseconds{20'000});
+        m_long->submit(makeJob(firstJob, 1));
+        m_long->advance(milliseconds{500});
+        m_used = m_long->executor("e1").running().empty() ? "e2" : "e1";
+        m_long->restartUnnoticed(m_used);
+        m_long->submit(makeJob(jobA, 4));
+        m_long->advance(milliseconds{1500});
+    }
+
+    /** A task that is started again after its lease is over may have two starts, but never two runs
+        at once. */
+    void assertLongTasksRanOnce()
+    {
+        for (const std::string &each : m_long->violations())
+            CPPUNIT_FAIL(each);
+        for (std::uint32_t index = 0; index < 4; ++index)
+            CPPUNIT_ASSERT(m_long->startsOf({jobA, 0, 0, index}) >= 1);
+    }
+
     scheduler_simulation m_simulation{};
+    std::unique_ptr<scheduler_simulation> m_long{};
     /** The executor that gets the next tasks. */
     std::string m_used{};
 };
--- a/test/azurelb/scheduling/scheduler_simulation.cpp
+++ b/test/azurelb/scheduling/scheduler_simulation.cpp
@@ -55,15 +55,17 @@
 {
     m_owner = std::make_unique<owner_model>(m_options, ++m_token);
     m_owner->scheduling.apply(config);
-    for (const std::string &id : m_recordedExecutors)
-        m_owner->scheduling.inheritExecutor(m_executors.at(id)->info(), m_now);
+    for (const auto &[id, record] : m_recordedExecutors)
+        m_owner->scheduling.inheritExecutor(
+            record, m_now,
+            record.startedUnixMs == incarnationOf(id) ? ageOf(id) : scheduler::unknownAge);
     for (const auto &[id, record] : m_records) {
         m_owner->scheduling.addJob(record, m_stored[id], 1, true, m_acceptedAt.at(id));
         if (m_cancelled.contains(id))
             m_owner->scheduling.cancelJob(id, m_now);
     }
     for (const auto &[id, executor] : m_executors)
-        m_owner->scheduling.registerExecutor(executor->info(), m_now);
+        m_owner->scheduling.registerExecutor(executor->info(), m_now, ageOf(id));
 }
 
 void scheduler_simulation::addExecutor(const std::string &id, const std::string &pool,
@@ -128,6 +130,7 @@
 {
     fake_executor &crashed = *m_executors.at(executor);
     crashed.crash(m_now);
+    m_restartedAt[executor] = m_now;
     m_owner->scheduling.registerExecutor(crashed.info(), m_now);
 }
 
@@ -135,9 +138,16 @@
                                             milliseconds registersAfter)
 {
     m_executors.at(executor)->crash(m_now);
+    m_restartedAt[executor] = m_now;
     m_lateRegistrations.push_back({m_now + registersAfter, executor});
 }
 
+milliseconds scheduler_simulation::ageOf(const std::string &executor) const
+{
+    const auto found = m_restartedAt.find(executor);
+    return found == m_restartedAt.end() ? scheduler::unknownAge : m_now - found->second;
+}
+
 void scheduler_simulation::registerRestarted()
 {
     std::erase_if(m_lateRegistrations, [this](const late_registration &each) {
@@ -173,6 +183,7 @@
     m_now += tick;
     for (const auto &[id, executor] : m_executors)
         executor->advance(m_now);
+    recordEnds();
     executeDelayedOrders();
     registerRestarted();
     if (m_readsConfigurationAt && m_now >= *m_readsConfigurationAt) {
@@ -218,13 +229,17 @@
         leaseEnd = owner.scheduling.executors().leaseEnd(*entry, m_now);
         owner.scheduling.executors().recordLease(*entry, *leaseEnd);
     }
-    const std::int64_t acknowledged =
-        entry->unresponsive || !reachesKnown ? 0 : entry->lastStoredEnd;
+    const bool acknowledges =
+        !entry->unresponsive && reachesKnown && entry->lastStoredEnd > entry->lastAcknowledgedEnd;
+    const std::int64_t acknowledged = acknowledges ? entry->lastStoredEnd : 0;
+    const std::int64_t startedUnixMs = entry->info.startedUnixMs;
     const auto report = m_executors.at(id)->hold(owner.token, acknowledged, leaseEnd, m_now);
     if (!report)
         owner.fenced = true;
     else
         owner.scheduling.applyReport(id, *report, m_now, m_now);
+    if (report && report->startedUnixMs == startedUnixMs)
+        entry->lastAcknowledgedEnd = std::max(entry->lastAcknowledgedEnd, acknowledged);
 }
 
 void scheduler_simulation::sendOrder(owner_model &owner, const executor_order &order)
@@ -319,8 +334,9 @@
     }
     for (auto &[id, entry] : owner.scheduling.executors().all()) {
         entry.lastStoredEnd = entry.lastProcessedEnd;
-        entry.ownershipRecorded = true;
-        m_recordedExecutors.insert(id);
+        const bool isNeeded = entry.registered || entry.info.hasRestarted;
+        if (isNeeded && !std::exchange(entry.ownershipRecorded, true))
+            m_recordedExecutors[id] = entry.info;
     }
     (void)owner.scheduling.takeEndedIncarnations();
 }
@@ -365,6 +381,14 @@
     m_starts[order.task].push_back(m_now);
 }
 
+void scheduler_simulation::recordEnds()
+{
+    for (const auto &[id, executor] : m_executors) {
+        for (const ended_run &end : executor->ended())
+            m_runEndedAt.try_emplace(end.run, m_now);
+    }
+}
+
 void scheduler_simulation::recordAcknowledgedEnds()
 {
     for (const auto &[id, executor] : m_executors) {
@@ -374,6 +398,12 @@
             if (end.end != run_end::done)
                 continue;
             m_doneEnds[end.task].push_back(m_now);
+            const boot_time endedAt = m_runEndedAt.at(end.run);
+            const std::vector<boot_time> &starts = m_starts[end.task];
+            const bool again = std::any_of(starts.begin(), starts.end(),
+                                           [endedAt](boot_time each) { return each > endedAt; });
+            if (again && !m_records.at(end.task.job).steps.at(end.task.step).longRunning)
+                m_violations.push_back("acknowledged after a later start: " + toString(end.task));
         }
     }
 }
--- a/test/azurelb/scheduling/scheduler_simulation.hpp
+++ b/test/azurelb/scheduling/scheduler_simulation.hpp
@@ -122,8 +122,11 @@
     [[nodiscard]] std::int64_t incarnationOf(const std::string &executor) const;
     void executeDelayedOrders();
     void registerRestarted();
+    /** Returns the time since the executor's last restart. */
+    [[nodiscard]] std::chrono::milliseconds ageOf(const std::string &executor) const;
     void store(owner_model &owner);
     void checkStart(const start_order &order);
+    void recordEnds();
     void recordAcknowledgedEnds();
 
     scheduling_options m_options{};
@@ -134,7 +137,8 @@
     std::map<job_id, job_progress> m_stored{};
     std::map<job_id, boot_time> m_endedAt{};
     std::set<job_id> m_cancelled{};
-    std::set<std::string> m_recordedExecutors{};
+    /** Records of the executors, as the owner wrote them last. */
+    std::map<std::string, executor_registration> m_recordedExecutors{};
     std::unique_ptr<owner_model> m_owner{};
     std::unique_ptr<owner_model> m_formerOwner{};
     std::int64_t m_token{0};
@@ -146,9 +150,12 @@
     bool m_peersIdentified{false};
     std::vector<delayed_order> m_delayedDeliveries{};
     std::vector<late_registration> m_lateRegistrations{};
+    std::map<std::string, boot_time> m_restartedAt{};
     std::function<run_plan(const task_id &)> m_plan;
     std::map<task_id, std::vector<boot_time>> m_starts{};
     std::map<task_id, std::vector<boot_time>> m_doneEnds{};
+    /** When each run ended. */
+    std::map<run_number, boot_time> m_runEndedAt{};
     std::map<task_id, unsigned> m_recordedFailures{};
     std::vector<std::string> m_violations{};
 };
--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -13,7 +13,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -27,6 +29,8 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
+/** The executor leaves its start time out of what it says. */
+constexpr std::int64_t unnamedIncarnation{0};
 constexpr std::int64_t firstIncarnation{1};
 constexpr std::int64_t secondIncarnation{2};
 
@@ -70,10 +74,9 @@
             asio::steady_timer never{m_loop, std::chrono::hours{1}};
             co_await never.async_wait(asio::use_awaitable);
         }
-        json::object body{{"ClockMs", 5},
-                          {"Running", json::array{}},
-                          {"EndedRuns", json::array{}},
-                          {"born", m_behaviour.startedUnixMs}};
+        json::object body{{"ClockMs", 5}, {"Running", json::array{}}, {"EndedRuns", json::array{}}};
+        if (m_behaviour.startedUnixMs != unnamedIncarnation)
+            body["born"] = m_behaviour.startedUnixMs;
         http_response made = jsonResponse(isStart ? http::status::ok : m_behaviour.reportStatus,
                                           json::serialize(body));
         made.keep_alive(m_behaviour.keepsConnections);
@@ -92,12 +95,18 @@
     CPPUNIT_TEST(doesNotAcknowledgeToAnotherIncarnation);
     CPPUNIT_TEST(doesNotAcknowledgeAfterARestartBehindTheFirstReport);
     CPPUNIT_TEST(acknowledgesToAnExecutorThatClosesConnections);
+    CPPUNIT_TEST(doesNotAcknowledgeToAnotherIncarnationThatClosesConnections);
+    CPPUNIT_TEST(reportOfAnotherIncarnationIsTheReply);
+    CPPUNIT_TEST(firstReportIdentifiesItsConnection);
     CPPUNIT_TEST(startsRunsOnTheIncarnationOfTheOrder);
     CPPUNIT_TEST(startOrderDoesNotReachARestartedExecutor);
     CPPUNIT_TEST(waitingStartOrderDoesNotReachARestartedExecutor);
     CPPUNIT_TEST(startsRunsOnTheNewIncarnation);
     CPPUNIT_TEST(startsRunsOnAnExecutorThatClosesConnections);
     CPPUNIT_TEST(refusalOfTheReportIsTheOutcomeOfTheOrder);
+    CPPUNIT_TEST(answerWithoutAStartTimeProvesNoIncarnation);
+    CPPUNIT_TEST(orderForAnUnknownIncarnationDoesNotReachAKnownOne);
+    CPPUNIT_TEST(usesAnExecutorThatNeverNamesItsStartTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +157,57 @@
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
     }
 
+    /** Each report request goes out on a new connection, so that any of them may be the first to
+        reach the new incarnation, which would discard its ends and grant the longest lease. */
+    void doesNotAcknowledgeToAnotherIncarnationThatClosesConnections()
+    {
+        {
+            recording_executor former{m_loop, m_port.text(), {.keepsConnections = false}};
+            requestReports(2);
+        }
+        recording_executor executor{
+            m_loop, m_port.text(), {.keepsConnections = false, .startedUnixMs = secondIncarnation}};
+        requestReports(2);
+        for (std::size_t index = 0; index < executor.requests.size(); ++index) {
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, index));
+            CPPUNIT_ASSERT(!executor.requests.at(index).contains("ExpiresMs"));
+        }
+        requestReports(1, secondIncarnation);
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, executor.requests.size() - 1));
+        CPPUNIT_ASSERT(executor.requests.back().contains("ExpiresMs"));
+    }
+
+    /** The owner learns of the restart from it. */
+    void reportOfAnotherIncarnationIsTheReply()
+    {
+        for (const bool keepsConnections : {true, false}) {
+            {
+                recording_executor former{
+                    m_loop, m_port.text(), {.keepsConnections = keepsConnections}};
+                requestReports(2);
+            }
+            recording_executor executor{
+                m_loop,
+                m_port.text(),
+                {.keepsConnections = keepsConnections, .startedUnixMs = secondIncarnation}};
+            requestReports(1);
+            CPPUNIT_ASSERT_EQUAL(secondIncarnation, m_reported.startedUnixMs);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor.requests.size());
+        }
+    }
+
+    /** Each call to an executor is paid for. */
+    void firstReportIdentifiesItsConnection()
+    {
+        recording_executor executor{m_loop, m_port.text(), {}};
+        report_request first;
+        first.startedUnixMs = firstIncarnation;
+        CPPUNIT_ASSERT(requestReport(first) == report_outcome::reported);
+        requestReports(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, executor.requests.size());
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
+    }
+
     void startsRunsOnTheIncarnationOfTheOrder()
     {
         recording_executor executor{m_loop, m_port.text(), {}};
@@ -216,6 +276,36 @@
         CPPUNIT_ASSERT(executor.starts.empty());
     }
 
+    /** It may come from a new incarnation, which gets neither orders nor acknowledgements for the
+        former one, and whose report would count for the former one. */
+    void answerWithoutAStartTimeProvesNoIncarnation()
+    {
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = unnamedIncarnation}};
+        CPPUNIT_ASSERT(start(firstIncarnation) == start_outcome::restarted);
+        CPPUNIT_ASSERT(executor.starts.empty());
+        CPPUNIT_ASSERT(requestReport(makeRequest(firstIncarnation)) == report_outcome::no_answer);
+        for (std::size_t index = 0; index < executor.requests.size(); ++index)
+            CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, lastSeen(executor, index));
+        report_request plain;
+        plain.startedUnixMs = firstIncarnation;
+        CPPUNIT_ASSERT(requestReport(plain) == report_outcome::no_answer);
+    }
+
+    void orderForAnUnknownIncarnationDoesNotReachAKnownOne()
+    {
+        recording_executor executor{m_loop, m_port.text(), {}};
+        CPPUNIT_ASSERT(start(unnamedIncarnation) == start_outcome::restarted);
+        CPPUNIT_ASSERT(executor.starts.empty());
+    }
+
+    void usesAnExecutorThatNeverNamesItsStartTime()
+    {
+        recording_executor executor{m_loop, m_port.text(), {.startedUnixMs = unnamedIncarnation}};
+        CPPUNIT_ASSERT(start(unnamedIncarnation) == start_outcome::started);
+        requestReports(2, unnamedIncarnation);
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, executor.requests.size() - 1));
+    }
+
 private:
     static constexpr std::int64_t acknowledged{7};
 
@@ -246,26 +336,39 @@
         return executor.requests.at(index).at("LastSeen").to_number<std::int64_t>();
     }
 
-    void requestReports(int count)
+    void requestReports(int count, std::int64_t incarnation = firstIncarnation)
     {
-        for (int index = 0; index < count; ++index) {
-            bool answered = false;
-            report_request request;
-            request.executor = "e1";
-            request.address = m_port.text();
-            request.acknowledged = acknowledged;
-            request.leaseEnd = milliseconds{3000};
-            m_client.report(request, [&answered](executor_reply &&reply) {
-                CPPUNIT_ASSERT(reply.outcome == report_outcome::reported);
-                answered = true;
-            });
-            CPPUNIT_ASSERT(runUntil(m_loop, [&answered] { return answered; }));
-        }
+        for (int index = 0; index < count; ++index)
+            CPPUNIT_ASSERT(requestReport(makeRequest(incarnation)) == report_outcome::reported);
+    }
+
+    [[nodiscard]] static report_request makeRequest(std::int64_t incarnation)
+    {
+        report_request request;
+        request.startedUnixMs = incarnation;
+        request.acknowledged = acknowledged;
+        request.leaseEnd = milliseconds{3000};
+        return request;
+    }
+
+    [[nodiscard]] report_outcome requestReport(report_request request)
+    {
+        request.executor = "e1";
+        request.address = m_port.text();
+        std::optional<report_outcome> outcome;
+        m_client.report(request, [this, &outcome](executor_reply &&reply) {
+            m_reported = std::move(reply.report);
+            outcome = reply.outcome;
+        });
+        CPPUNIT_ASSERT(runUntil(m_loop, [&outcome] { return outcome.has_value(); }));
+        return *outcome;
     }
 
     asio::io_context m_loop{};
     reserved_port m_port{};
     executor_client m_client{m_loop};
+    /** The last report. */
+    executor_report m_reported{};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(executor_client_test);
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -24,6 +24,17 @@
 constexpr milliseconds longRecoveryTime{45'000};
 constexpr milliseconds submitInterval{120};
 constexpr std::size_t maxActiveCallers{40};
+/** Executors that restart together in recutExecutor(), at most. */
+constexpr std::size_t maxRecutExecutors{4};
+/** Jobs submitted as they restart: two orders are in flight for each executor, the others wait. */
+constexpr unsigned recutJobs{8};
+/** Runs that an executor must have room for so that orders wait for it. */
+constexpr std::size_t minRecutRoom{4};
+/** One executor of so many closes each connection, if faults need such executors. */
+constexpr std::size_t executorsPerClosing{3};
+/** Executors that recutBehindIntermediary() restarts at a time. */
+constexpr std::size_t executorsPerCut{4};
+constexpr std::size_t longJobsPerCut{8};
 
 const char *const noFault{"{}"};
 const char *const cutAll{R"({"cut":"CUT_ALL"})"};
@@ -32,7 +43,7 @@
 
 } // namespace
 
-const std::array<soak_scenario::fault, 16> soak_scenario::faultTypes{{
+const std::array<soak_scenario::fault, 22> soak_scenario::faultTypes{{
     {"kill", &soak_scenario::killDaemon},
     {"stop", &soak_scenario::terminateDaemon},
     {"pause", &soak_scenario::pauseDaemon},
@@ -48,7 +59,13 @@
     {"store-drops-history", &soak_scenario::dropStoreHistory},
     {"restart-executor", &soak_scenario::restartExecutorUnnoticed},
     {"change-configuration", &soak_scenario::changeConfigurationAndOwner},
-    {"recut-executor", &soak_scenario::recutExecutor},
+    {"recut-executor", &soak_scenario::recutExecutor, &soak_scenario::isRecutOver},
+    {"restart-kept", &soak_scenario::restartBehindIntermediary},
+    {"restart-closing", &soak_scenario::restartClosingExecutor, nullptr, true},
+    {"restart-twice", &soak_scenario::restartTwice},
+    {"restart-unnamed", &soak_scenario::restartWithUnnamedEntry},
+    {"recut-kept", &soak_scenario::recutBehindIntermediary, &soak_scenario::isCutOffOver},
+    {"recut-closing", &soak_scenario::recutClosingExecutors, &soak_scenario::isCutOffOver, true},
 }};
 
 soak_scenario::soak_scenario(const soak_options &options)
@@ -81,6 +98,14 @@
                        [&name](const fault &each) { return name == each.name; });
 }
 
+bool soak_scenario::hasClosingExecutors() const
+{
+    return std::any_of(faultTypes.begin(), faultTypes.end(), [this](const fault &each) {
+        return each.needsClosingExecutors
+            && (m_options.onlyFault.empty() || m_options.onlyFault == each.name);
+    });
+}
+
 void soak_scenario::addExecutors()
 {
     const auto countRuns = [this](const task_id &task) {
@@ -96,6 +121,9 @@
         // Executor clocks may run up to 2 % slow.
         added.endpoint = std::make_unique<executor_endpoint>(m_loop, added.id, m_audit, countRuns,
                                                              index % 2 == 0 ? 1.0 : 0.98);
+        added.closesConnections = hasClosingExecutors() && index % executorsPerClosing == 0;
+        if (added.closesConnections)
+            added.endpoint->closeConnections();
         added.proxy = std::make_unique<standin::forwarder>(
             m_loop, soak_caller::endpoint{boost::asio::ip::address_v4::loopback(), 0},
             soak_caller::endpoint{boost::asio::ip::address_v4::loopback(), added.endpoint->port()});
@@ -191,7 +219,10 @@
     });
     const fault &chosen =
         only == faultTypes.end() ? faultTypes.at(randomIndex(faultTypes.size())) : *only;
+    if (chosen.isPossible && !(this->*chosen.isPossible)())
+        return;
     m_faults += std::string{" "} + chosen.name;
+    ++m_faultCount;
     (this->*chosen.inject)();
 }
 
@@ -331,30 +362,200 @@
     schedule(randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
 }
 
-/** The busiest executor restarts, registers late and is cut off, and the owner is killed meanwhile.
-    Orders for the former incarnation that reach the new one run under a lease that the next owner
-    does not expect. One at a time, since each change of the owner prolongs the wait for leases. */
+/** Executors on which the owner places the next runs: it fills one after the other. */
+std::vector<soak_scenario::soak_executor *> soak_scenario::busyExecutorsWithRoom()
+{
+    const auto runsOn = [](const soak_executor *executor) {
+        return executor->endpoint->model().running().size();
+    };
+    std::vector<soak_executor *> found;
+    for (soak_executor &each : m_executors) {
+        if (runsOn(&each) > 0 && runsOn(&each) + minRecutRoom <= executor_endpoint::maxRuns)
+            found.push_back(&each);
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [&runsOn](const soak_executor *left, const soak_executor *right) {
+                         return runsOn(left) > runsOn(right);
+                     });
+    return found;
+}
+
+/** Executors restart and register late while orders for them are sent. Soon after one of them has
+    started a run, the owner is killed and they are cut off. Orders for the former incarnation that
+    reach the new one run under a lease that the next owner does not expect. One at a time, since
+    each change of the owner prolongs the wait for leases. */
 void soak_scenario::recutExecutor()
 {
-    const boot_time now = boot_clock::now();
-    if (now < m_recutUntil)
+    std::vector<soak_executor *> chosen = busyExecutorsWithRoom();
+    const std::size_t wanted = 2 + randomIndex(maxRecutExecutors - 1);
+    chosen.resize(std::min(chosen.size(), wanted));
+    recut_plan plan;
+    for (soak_executor *const each : chosen) {
+        endIncarnation(*each);
+        schedule(randomDuration(300, 1500), [this, each] { registerExecutor(*each); });
+        plan.targets.push_back({each, randomDuration(7700, 10'000)});
+    }
+    for (unsigned count = 0; count < recutJobs; ++count) {
+        const milliseconds duration = randomDuration(5000, 12'000);
+        schedule(randomDuration(0, 100), [this, duration] { m_callers->submitJob(duration); });
+    }
+    plan.latest = boot_clock::now() + randomDuration(700, 2000);
+    plan.registerDelay = randomDuration(0, 150);
+    plan.killDelay = plan.registerDelay + randomDuration(200, 350);
+    plan.cutDelay = plan.killDelay + randomDuration(-200, 150);
+    m_recutUntil = boot_time::max();
+    awaitStartAfterRestart(plan);
+}
+
+/** Takes the further steps once an executor has started a run, or if none does in time. */
+void soak_scenario::awaitStartAfterRestart(const recut_plan &plan)
+{
+    const bool started =
+        std::any_of(plan.targets.begin(), plan.targets.end(), [](const recut_plan::target &each) {
+            return !each.executor->endpoint->model().running().empty();
+        });
+    if (!started && boot_clock::now() < plan.latest) {
+        schedule(loopInterval, [this, plan] { awaitStartAfterRestart(plan); });
         return;
-    soak_executor &chosen = *std::max_element(m_executors.begin(), m_executors.end(),
-                                              [](const auto &left, const auto &right) {
-                                                  return left.endpoint->model().running().size()
-                                                      < right.endpoint->model().running().size();
-                                              });
-    endIncarnation(chosen);
-    schedule(randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
-    const milliseconds cutAfter = randomDuration(700, 2000);
-    const milliseconds reconnectAfter = cutAfter + randomDuration(9000, 12'000);
-    m_recutUntil = now + reconnectAfter;
-    schedule(cutAfter, [this, &chosen] { setProxy(chosen, cutAll); });
-    schedule(reconnectAfter, [this, &chosen] { setProxy(chosen, noFault); });
-    schedule(cutAfter - randomDuration(0, 600), [this] {
+    }
+    schedule(plan.registerDelay, [this, plan] {
+        for (const recut_plan::target &each : plan.targets)
+            registerExecutor(*each.executor);
+    });
+    schedule(plan.killDelay, [this] {
         if (soak_daemon *const owner = findOwner())
             owner->signal(SIGKILL);
     });
+    schedule(plan.cutDelay, [this, plan] { cutRestartedExecutors(plan); });
+}
+
+void soak_scenario::cutRestartedExecutors(const recut_plan &plan)
+{
+    const boot_time now = boot_clock::now();
+    m_recutUntil = now;
+    for (const recut_plan::target &each : plan.targets) {
+        setProxy(*each.executor, cutAll);
+        schedule(each.outage, [this, each] { setProxy(*each.executor, noFault); });
+        m_recutUntil = std::max(m_recutUntil, now + each.outage);
+    }
+}
+
+void soak_scenario::restartInTheDark(soak_executor &executor, milliseconds darkTime)
+{
+    setProxy(executor, cutAll);
+    schedule(darkTime / 2,
+             [&executor] { executor.endpoint->crashBehindIntermediary(boot_clock::now()); });
+    schedule(darkTime, [this, &executor] { setProxy(executor, noFault); });
+    schedule(darkTime / 2 + randomDuration(100, 1000),
+             [this, &executor] { registerExecutor(executor); });
+}
+
+void soak_scenario::restartBehindIntermediary()
+{
+    restartInTheDark(randomExecutor(), randomDuration(100, 800));
+}
+
+soak_scenario::executor_list soak_scenario::closingExecutors()
+{
+    executor_list found;
+    for (soak_executor &each : m_executors) {
+        if (each.closesConnections)
+            found.push_back(&each);
+    }
+    return found;
+}
+
+void soak_scenario::restartClosing(soak_executor &executor)
+{
+    const bool isDark = randomIndex(2) == 0;
+    if (isDark) {
+        restartInTheDark(executor, randomDuration(50, 400));
+        return;
+    }
+    endIncarnation(executor);
+    schedule(randomDuration(100, 1000), [this, &executor] { registerExecutor(executor); });
+}
+
+void soak_scenario::restartClosingExecutor()
+{
+    const executor_list closing = closingExecutors();
+    restartClosing(*closing.at(randomIndex(closing.size())));
+}
+
+void soak_scenario::restartTwice()
+{
+    soak_executor &chosen = randomExecutor();
+    const milliseconds darkTime = randomDuration(100, 800);
+    restartInTheDark(chosen, darkTime);
+    const milliseconds second = darkTime / 2 + randomDuration(50, 800);
+    schedule(second, [&chosen] { chosen.endpoint->crashBehindIntermediary(boot_clock::now()); });
+    schedule(second + randomDuration(100, 1000), [this, &chosen] { registerExecutor(chosen); });
+}
+
+/** The directory's entry names no incarnation from before the restart until the next registration.
+ */
+void soak_scenario::restartWithUnnamedEntry()
+{
+    soak_executor &chosen = randomExecutor();
+    m_store.state().put(
+        "servers/" + chosen.id,
+        chosen.endpoint->unnamedRegistration(standin::toString(chosen.proxy->address())));
+    restartInTheDark(chosen, randomDuration(100, 800));
+}
+
+void soak_scenario::submitLongJobsDuring(milliseconds time)
+{
+    constexpr milliseconds after{200};
+    for (std::size_t index = 0; index < longJobsPerCut; ++index)
+        schedule(
+            (time + after) * index / longJobsPerCut,
+            [this, duration = randomDuration(8000, 13'000)] { m_callers->submitJob(duration); });
+}
+
+void soak_scenario::cutOffAndEndOwner(const executor_list &executors, milliseconds pause)
+{
+    const milliseconds cutAfter = pause + randomDuration(300, 2000);
+    const milliseconds reconnectAfter = cutAfter + randomDuration(5000, 12'000);
+    m_cutOffUntil = boot_clock::now() + reconnectAfter;
+    for (soak_executor *const each : executors) {
+        schedule(cutAfter, [this, each] { setProxy(*each, cutAll); });
+        schedule(reconnectAfter, [this, each] { setProxy(*each, noFault); });
+    }
+    const int signal = randomIndex(2) == 0 ? SIGKILL : SIGTERM;
+    const milliseconds earliest{-300};
+    schedule(cutAfter + earliest + randomDuration(0, 1500), [this, signal] {
+        if (soak_daemon *const owner = findOwner()) {
+            owner->signal(SIGCONT);
+            owner->signal(signal);
+        }
+    });
+}
+
+/** Several executors restart behind an intermediary while long tasks are placed, and are cut off
+    while the owner changes: runs of a former owner's orders may outlast the leases that the next
+   one assumes. One at a time, as recutExecutor(). */
+void soak_scenario::recutBehindIntermediary()
+{
+    executor_list chosen;
+    for (soak_executor &each : m_executors)
+        chosen.push_back(&each);
+    std::shuffle(chosen.begin(), chosen.end(), m_random);
+    chosen.resize(std::min(chosen.size(), executorsPerCut));
+    constexpr milliseconds longestDark{800};
+    submitLongJobsDuring(longestDark);
+    for (soak_executor *const each : chosen)
+        restartInTheDark(*each, randomDuration(100, static_cast<int>(longestDark.count())));
+    cutOffAndEndOwner(chosen, longestDark);
+}
+
+void soak_scenario::recutClosingExecutors()
+{
+    constexpr milliseconds longestDark{400};
+    submitLongJobsDuring(longestDark);
+    const executor_list closing = closingExecutors();
+    for (soak_executor *const each : closing)
+        restartClosing(*each);
+    cutOffAndEndOwner(closing, longestDark);
 }
 
 /** Two daemons miss the answers that carry the change, and the owner is stopped within a second. */
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -46,8 +46,9 @@
     void run();
 
     [[nodiscard]] const run_audit &audit() const noexcept { return m_audit; }
-    /** Names of the injected faults, in order. */
+    /** Names of the faults that were carried out, in order. */
     [[nodiscard]] const std::string &faults() const noexcept { return m_faults; }
+    [[nodiscard]] std::size_t faultCount() const noexcept { return m_faultCount; }
     /** Output of all daemons, each line preceded by the daemon's name. */
     [[nodiscard]] std::string logs();
 
@@ -57,12 +58,36 @@
         std::string id{};
         std::unique_ptr<executor_endpoint> endpoint{};
         std::unique_ptr<standin::forwarder> proxy{};
+        bool closesConnections{false};
     };
     struct fault
     {
         const char *name;
         void (soak_scenario::*inject)();
+        /** Whether the fault can be injected now; nullptr if it always can. */
+        bool (soak_scenario::*isPossible)() const {nullptr};
+        /** A third of the executors closes each connection after one response. */
+        bool needsClosingExecutors{false};
     };
+    /** What follows the restart of executors in recutExecutor(). */
+    struct recut_plan
+    {
+        struct target
+        {
+            soak_executor *executor;
+            /** Time from the cut until the executor is reachable again. */
+            std::chrono::milliseconds outage;
+        };
+        std::vector<target> targets{};
+        /** Until when a start on one of them is awaited. */
+        boot_time latest{};
+        /** Times from that start until they have registered, until the owner is killed, and until
+            they are cut off. */
+        std::chrono::milliseconds registerDelay{};
+        std::chrono::milliseconds killDelay{};
+        std::chrono::milliseconds cutDelay{};
+    };
+    using executor_list = std::vector<soak_executor *>;
 
     void addExecutors();
     void putOddEntries();
@@ -75,6 +100,18 @@
     void restartEndedDaemons();
     void schedule(std::chrono::milliseconds pause, std::function<void()> action);
     void endIncarnation(soak_executor &executor);
+    /** Holds all bytes of the executor for a time, in the middle of which it restarts; then bytes
+        flow on the same connections. It registers 0.1 to 1 s later. */
+    void restartInTheDark(soak_executor &executor, std::chrono::milliseconds darkTime);
+    /** Restarts a closing executor; its connections end with it if there is no dark time. */
+    void restartClosing(soak_executor &executor);
+    /** Submits long jobs from now on until a moment after the time. */
+    void submitLongJobsDuring(std::chrono::milliseconds time);
+    /** Cuts the executors off 0.3 to 2 s after the pause and ends the owner before or after that.
+     */
+    void cutOffAndEndOwner(const executor_list &executors, std::chrono::milliseconds pause);
+    [[nodiscard]] bool hasClosingExecutors() const;
+    [[nodiscard]] executor_list closingExecutors();
     void registerExecutor(const soak_executor &executor);
     /** Returns the daemon that holds the owner's key; nullptr if there is none. */
     [[nodiscard]] soak_daemon *findOwner();
@@ -94,6 +131,18 @@
     void restartExecutorUnnoticed();
     void changeConfigurationAndOwner();
     void recutExecutor();
+    [[nodiscard]] bool isRecutOver() const { return boot_clock::now() >= m_recutUntil; }
+    /** Executors with some runs and room for more, the busiest first. */
+    [[nodiscard]] std::vector<soak_executor *> busyExecutorsWithRoom();
+    void awaitStartAfterRestart(const recut_plan &plan);
+    void cutRestartedExecutors(const recut_plan &plan);
+    [[nodiscard]] bool isCutOffOver() const { return boot_clock::now() >= m_cutOffUntil; }
+    void restartBehindIntermediary();
+    void restartClosingExecutor();
+    void restartTwice();
+    void restartWithUnnamedEntry();
+    void recutBehindIntermediary();
+    void recutClosingExecutors();
     void cutExecutor();
     void silenceExecutorConnections();
     void makeStoreUnavailable();
@@ -101,7 +150,7 @@
     void loseCommitReplies();
     void dropStoreHistory();
 
-    static const std::array<fault, 16> faultTypes;
+    static const std::array<fault, 22> faultTypes;
 
     soak_options m_options;
     boost::asio::io_context m_loop{};
@@ -112,9 +161,12 @@
     std::vector<std::unique_ptr<soak_daemon>> m_daemons{};
     std::unique_ptr<soak_caller> m_callers{};
     std::int64_t m_configVersion{1};
-    /** When the executor of the last recutExecutor() is reachable again. */
+    /** When the executors of the last recutExecutor() are reachable again. */
     boot_time m_recutUntil{};
+    /** When the executors of the last cutOffAndEndOwner() are reachable again. */
+    boot_time m_cutOffUntil{};
     std::string m_faults{};
+    std::size_t m_faultCount{0};
     /** Timers that end faults. */
     std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers{};
 };
