--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -185,6 +185,7 @@
                 recording_executor former{
                     m_loop, m_port.text(), {.keepsConnections = keepsConnections}};
                 requestReports(2);
+                CPPUNIT_ASSERT(!m_reduced);
             }
             recording_executor executor{
                 m_loop,
@@ -192,6 +193,7 @@
                 {.keepsConnections = keepsConnections, .startedUnixMs = secondIncarnation}};
             requestReports(1);
             CPPUNIT_ASSERT_EQUAL(secondIncarnation, m_reported.startedUnixMs);
+            CPPUNIT_ASSERT(m_reduced);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor.requests.size());
         }
     }
@@ -358,6 +360,7 @@
         std::optional<report_outcome> outcome;
         m_client.report(request, [this, &outcome](executor_reply &&reply) {
             m_reported = std::move(reply.report);
+            m_reduced = reply.reduced;
             outcome = reply.outcome;
         });
         CPPUNIT_ASSERT(runUntil(m_loop, [&outcome] { return outcome.has_value(); }));
@@ -369,6 +372,7 @@
     executor_client m_client{m_loop};
     /** The last report. */
     executor_report m_reported{};
+    bool m_reduced{false};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(executor_client_test);
