Leases: an order in flight at a restart counts from its answer

Cause: restart() bounds the leases of a new incarnation by the moment at which the owner learned of it. An order that is in flight then may be carried out until it is answered or given up (600 ms), and its lease, in the clock of the former incarnation, lasts up to the longest term from there. A refusal for want of room, or of a known run, grants the lease, too.

Now the answer to an order that may have granted a lease, and names another incarnation than the present one, or comes on another clock, extends the bound to the longest term from then on.

Ruled out: an order without an answer whose executor hasn't restarted. Its lease is in the executor's own clock (orderForThePresentIncarnationHolds- ItsOwnLease passed before, too).

Before the fix these failed: executor_restart_test orderCarriedOutAfterThe- RestartHoldsTheLongestLease and orderRefusedAfterTheRestartExtendsTheLease (the runs were given up before the lease was over), owner_test runOnAnotherClockIsNotRepeatedDuringItsLease (expected 1 start, actual 2).

Open: an order whose connection was given up and that is carried out later still.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -404,9 +404,11 @@
                   {"outcome", toString(reply.outcome)}});
     const milliseconds expectedClock =
         order.leaseEnd - m_options.scheduling.leaseTerm + (now - orderedAt);
-    if (reply.outcome == start_outcome::started && reply.clock
-        && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance)
-        m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    if (reply.clock && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance) {
+        m_scheduler.recordAnswerOnOtherClock(order.executor, now);
+        if (reply.outcome == start_outcome::started)
+            m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    }
     m_scheduler.applyStartOutcome(order, reply.outcome, now);
     if (reply.outcome != start_outcome::started)
         scheduleAdvance();
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -101,11 +101,7 @@
     executor.unresponsive = false;
     executor.clock = milliseconds{0};
     executor.clockReadAt = {};
-    executor.mayHoldFormerLeases = true;
-    executor.latestLeaseEnd = std::max(
-        executor.latestLeaseEnd,
-        now + std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
-            + m_options.leaseMargin);
+    recordFormerLease(executor, now);
     executor.lastProcessedEnd = 0;
     executor.lastStoredEnd = 0;
     executor.unreadJobs.clear();
@@ -161,6 +157,14 @@
         std::max(executor.latestLeaseEnd, executor.clockReadAt + term + m_options.leaseMargin);
 }
 
+void executor_table::recordFormerLease(executor_entry &executor, boot_time now) const noexcept
+{
+    const auto term =
+        std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor);
+    executor.mayHoldFormerLeases = true;
+    executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, now + term + m_options.leaseMargin);
+}
+
 void executor_table::capEarlierLeases(executor_entry &executor, boot_time now) const noexcept
 {
     const milliseconds longest =
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -51,6 +51,10 @@
     /** Records that a lease with this end, in the executor's clock, has been sent. */
     void recordLease(executor_entry &executor, std::chrono::milliseconds leaseEnd) const noexcept;
 
+    /** Records that a lease meant for the clock of a former incarnation may have reached the
+       present one, which shortens it to the longest term. */
+    void recordFormerLease(executor_entry &executor, boot_time now) const noexcept;
+
     /** Call when the executor has answered this owner: it accepts no leases of earlier owners from
         then on, which bounds the leases that they have granted. */
     void capEarlierLeases(executor_entry &executor, boot_time now) const noexcept;
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -28,6 +28,14 @@
 /** Time for which a long-running task must have reported full progress to count as available. */
 constexpr milliseconds minTimeAtWork{200};
 
+/** Returns whether the executor may have taken the lease of the order: it does so from refused
+   ones, too, if it has no room or knows the run. */
+bool mayGrantLease(start_outcome outcome) noexcept
+{
+    return outcome == start_outcome::started || outcome == start_outcome::unknown
+        || outcome == start_outcome::full || outcome == start_outcome::outdated;
+}
+
 } // namespace
 
 scheduler::scheduler(const scheduling_options &options, run_number runBase)
@@ -205,6 +213,9 @@
         return;
     }
     executor_entry *const executor = m_executors.find(order.executor);
+    // An order in flight at the restart may be carried out by the new incarnation until now.
+    if (executor && executor->info.startedUnixMs != order.startedUnixMs && mayGrantLease(outcome))
+        m_executors.recordFormerLease(*executor, now);
     assignment *const held = m_executors.find(order.executor, order.task);
     if (!held || held->run != order.run)
         return;
@@ -225,6 +236,12 @@
     dropAssignment(*executor, order.task, now);
 }
 
+void scheduler::recordAnswerOnOtherClock(const executor_id &id, boot_time now)
+{
+    if (executor_entry *const executor = m_executors.find(id))
+        m_executors.recordFormerLease(*executor, now);
+}
+
 bool scheduler::isStartPending(const start_order &order) const
 {
     const executor_entry *const executor = m_executors.find(order.executor);
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -83,6 +83,9 @@
     [[nodiscard]] bool isStartPending(const start_order &order) const;
 
     void applyStartOutcome(const start_order &order, start_outcome outcome, boot_time now);
+    /** Call when another incarnation than the known one has answered a start order, before
+        applyStartOutcome(). */
+    void recordAnswerOnOtherClock(const executor_id &id, boot_time now);
 
     /** confirmed is false if no answer came. */
     void applyStopOutcome(const stop_order &order, bool confirmed, boot_time now);
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -182,6 +182,7 @@
     CPPUNIT_TEST(withholdsAnOrderThatWaitedThroughAPause);
     CPPUNIT_TEST(withholdsAnOrderWhoseRunWasGivenUp);
     CPPUNIT_TEST(countsOrdersThatAnotherIncarnationCarriedOut);
+    CPPUNIT_TEST(runOnAnotherClockIsNotRepeatedDuringItsLease);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -283,6 +284,29 @@
         CPPUNIT_ASSERT_EQUAL(1.0, counted.Value());
     }
 
+    /** The executor is cut off before it has registered again or reported, so that only the answer
+        shows that another incarnation carries the order out, under the longest lease. */
+    void runOnAnotherClockIsNotRepeatedDuringItsLease()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+        m_gateway.silentExecutor = executorName;
+        registerExecutor("e2");
+        m_gateway.queue.front().done({start_outcome::started, milliseconds{3'600'000}});
+        run(milliseconds{5000});
+        // An event on the jobs confirms them, so that starts are permitted.
+        m_store.put(store_keys::jobCancel(secondJob), "{}");
+        run(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+        run(milliseconds{1500});
+        m_store.put(store_keys::jobCancel(secondJob), "{}");
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway.queue.size());
+        CPPUNIT_ASSERT_EQUAL(executor_id{"e2"}, m_gateway.queue.back().order.executor);
+    }
+
     /** The same after a longer cut, in which the store removes the registration of the executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(newOwnerAdoptsRunsOfAnUnrecordedIncarnation);
     CPPUNIT_TEST(newOwnerWaitsForAnUnreachableIncarnation);
     CPPUNIT_TEST(leaseOfTheFormerClockLastsUpToTheLongestTerm);
+    CPPUNIT_TEST(orderCarriedOutAfterTheRestartHoldsTheLongestLease);
+    CPPUNIT_TEST(orderRefusedAfterTheRestartExtendsTheLease);
+    CPPUNIT_TEST(orderForThePresentIncarnationHoldsItsOwnLease);
     CPPUNIT_TEST(orderOfADroppedRunIsNotPending);
     CPPUNIT_TEST(newOwnerDoesNotRepeatRunsOfARestartedExecutor);
     CPPUNIT_TEST(orderThatMeetsARestartedExecutorGoesElsewhere);
@@ -294,6 +297,51 @@
         CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
     }
 
+    /** The order is in flight while the owner learns of the restart, and is carried out up to the
+        moment at which it is given up. Then the executor is cut off. */
+    void orderCarriedOutAfterTheRestartHoldsTheLongestLease()
+    {
+        for (const start_outcome outcome : {start_outcome::started, start_outcome::unknown}) {
+            scheduler scheduling = makeScheduler();
+            const start_order order = placeOne(scheduling);
+            scheduling.registerExecutor(registration(2), at(100));
+            scheduling.applyStartOutcome(order, outcome, at(700));
+            scheduling.markUnresponsive("e");
+            advance(scheduling, at(700 + longestLeaseMs));
+            CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+            advance(scheduling, at(1000 + longestLeaseMs));
+            CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+        }
+    }
+
+    /** A refusal for want of room extends the lease of the runs that are there. */
+    void orderRefusedAfterTheRestartExtendsTheLease()
+    {
+        scheduler scheduling = makeScheduler();
+        scheduling.addJob(makeJob(jobA, 2), {}, 0, false, at(0));
+        advance(scheduling, at(0));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        const auto &first = std::get<start_order>(orders.front());
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.applyStartOutcome(first, start_outcome::started, at(110));
+        scheduling.applyStartOutcome(std::get<start_order>(orders.back()), start_outcome::full,
+                                     at(700));
+        scheduling.markUnresponsive("e");
+        advance(scheduling, at(700 + longestLeaseMs));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", first.task) != nullptr);
+    }
+
+    void orderForThePresentIncarnationHoldsItsOwnLease()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::unknown, at(600));
+        scheduling.markUnresponsive("e");
+        advance(scheduling, at(4000));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+    }
+
     /** Orders wait for a connection: one that is sent after its run was given up would start a
         second run on a new incarnation, which knows nothing of the former lease. */
     void orderOfADroppedRunIsNotPending()
@@ -352,6 +400,9 @@
     }
 
 private:
+    /** Longest lease on a clock that is 2 % slow. */
+    static constexpr int longestLeaseMs{6122};
+
     [[nodiscard]] static boot_time at(int millis)
     {
         return boot_time{std::chrono::seconds{1000}} + milliseconds{millis};
