--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -310,14 +310,14 @@
                        request.leaseEnd ? std::to_string(request.leaseEnd->count())
                                         : std::string{"none"}}});
         to.failures = std::min(to.failures + 1, maxRetryFactor);
-        recordUnanswered(id, now);
+        doubtIncarnation(id, now);
         m_scheduler.markUnresponsive(id);
         requestReportAfter(id, silentRetryDelay * to.failures);
         scheduleAdvance();
         return;
     }
     to.failures = 0;
-    to.incarnationKnown = askedAt > to.unansweredAt;
+    to.incarnationKnown = askedAt > to.incarnationDoubtedAt;
     checkReached(request, reply);
     m_scheduler.setJobsReadAt(m_jobWatcher->state().confirmedAt);
     m_scheduler.applyReport(id, reply.report, askedAt, now);
@@ -494,11 +494,14 @@
                   {"outcome", toString(reply.outcome)}});
     const milliseconds expectedClock =
         order.leaseEnd - m_options.scheduling.leaseTerm + (now - orderedAt);
-    if (reply.outcome == start_outcome::started && reply.clock
-        && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance)
-        m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    if (reply.clock && std::chrono::abs(*reply.clock - expectedClock) > clockTolerance) {
+        doubtIncarnation(order.executor, now);
+        m_scheduler.recordAnswerOnOtherClock(order.executor, now);
+        if (reply.outcome == start_outcome::started)
+            m_services.metrics.recordOtherIncarnation(order, *reply.clock, expectedClock);
+    }
     if (reply.outcome == start_outcome::unknown)
-        recordUnanswered(order.executor, now);
+        doubtIncarnation(order.executor, now);
     if (reply.otherReport)
         m_scheduler.applyReport(order.executor, *reply.otherReport, orderedAt, now);
     m_scheduler.applyStartOutcome(order, reply.outcome, now);
@@ -506,13 +509,13 @@
         scheduleAdvance();
 }
 
-void owner::recordUnanswered(const executor_id &id, boot_time now)
+void owner::doubtIncarnation(const executor_id &id, boot_time now)
 {
     const auto found = m_channels.find(id);
     if (found == m_channels.end())
         return;
     found->second->incarnationKnown = false;
-    found->second->unansweredAt = now;
+    found->second->incarnationDoubtedAt = now;
 }
 
 void owner::send(const stop_order &order)
@@ -532,7 +535,7 @@
                 return;
             const boot_time now = boot_clock::now();
             if (outcome == start_outcome::unknown)
-                recordUnanswered(order.executor, now);
+                doubtIncarnation(order.executor, now);
             m_scheduler.applyStopOutcome(order, outcome == start_outcome::started, now);
         });
 }
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -99,10 +99,10 @@
         bool reportPending{false};
         /** Consecutive requests without an answer, up to maxRetryFactor. */
         unsigned failures{0};
-        /** A report has shown the incarnation, and each later call was answered. */
+        /** A report that was requested after incarnationDoubtedAt has shown the incarnation. */
         bool incarnationKnown{false};
-        /** When a call last stayed without an answer. */
-        boot_time unansweredAt{};
+        /** When a call last stayed without an answer or was answered on another clock. */
+        boot_time incarnationDoubtedAt{};
         boost::asio::steady_timer timer;
 
         explicit channel(boost::asio::io_context &loop)
@@ -139,9 +139,9 @@
     void sendOrders();
     std::size_t logStarts(const executor_orders &orders, std::size_t index) const;
     void send(const start_order &order);
-    /** Call if an order was not answered: nothing is renewed or acknowledged until a report that is
-        requested later shows the executor's incarnation. */
-    void recordUnanswered(const executor_id &id, boot_time now);
+    /** Nothing is renewed or acknowledged until a report that is requested later shows the
+        executor's incarnation. */
+    void doubtIncarnation(const executor_id &id, boot_time now);
     void handleStartReply(const start_order &order, const start_reply &reply, boot_time orderedAt);
     void send(const stop_order &order);
     void send(const cpu_share_order &order);
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -49,7 +49,7 @@
             + m_options.leaseMargin;
         const milliseconds sinceStart = info.hasRestarted ? milliseconds{0} : age;
         if (sinceStart < maxCallDelay + longestLease())
-            expectFormerLeases(executor, now - std::max(sinceStart, milliseconds{0}));
+            recordFormerLease(executor, now - std::max(sinceStart, milliseconds{0}));
     }
     if (!isNew && executor.info.pool != info.pool) {
         removeFromPool(executor);
@@ -111,7 +111,7 @@
     executor.clock = milliseconds{0};
     executor.clockReadAt = {};
     executor.info.hasRestarted = true;
-    expectFormerLeases(executor, now);
+    recordFormerLease(executor, now);
     executor.lastProcessedEnd = 0;
     executor.lastStoredEnd = 0;
     executor.lastAcknowledgedEnd = 0;
@@ -176,9 +176,10 @@
 
 /** Calls for the former incarnation may reach the executor until shortly after it has restarted, or
     its restart is known. */
-void executor_table::expectFormerLeases(executor_entry &executor, boot_time since) const noexcept
+void executor_table::recordFormerLease(executor_entry &executor, boot_time since) const noexcept
 {
-    executor.formerLeaseEnd = since + maxCallDelay + longestLease();
+    const boot_time end = since + maxCallDelay + longestLease();
+    executor.formerLeaseEnd = std::max(executor.formerLeaseEnd, end);
     executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, executor.formerLeaseEnd);
 }
 
