--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -247,11 +247,9 @@
         request.wait = reportWait(*executor);
     }
     to.reportPending = true;
-    if (acknowledges && mayLog(event::ends_acknowledged))
-        logEvent(event::ends_acknowledged,
-                 {{"executor", request.executor},
-                  {"born", request.startedUnixMs},
-                  {"up_to", request.acknowledged}});
+    if (acknowledges)
+        m_acknowledgements.push_back(
+            {request.executor, request.startedUnixMs, request.acknowledged});
     m_services.executors.report(
         request,
         [this, request, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
@@ -360,16 +358,17 @@
 
 void owner::recordNotices()
 {
-    for (const scheduling_notice &each : m_scheduler.takeNotices())
-        m_services.metrics.record(each);
+    m_services.metrics.record(m_scheduler.takeNotices());
+    owner_metrics::recordAcknowledgements(std::exchange(m_acknowledgements, {}));
 }
 
 void owner::advance()
 {
     m_advanceScheduled = false;
-    recordNotices();
-    if (!permits(order_kind::stop))
+    if (!permits(order_kind::stop)) {
+        recordNotices();
         return;
+    }
     const auto begun = std::chrono::steady_clock::now();
     const boot_time now = boot_clock::now();
     updateHold(now);
