Restarts: answers to orders for the former incarnation don't count for the new one

Cause: a stop order that the former incarnation had confirmed, with its answer arriving after the restart was learned, counted as confirmed by the new one, so that the task started again without a stop order to that one. And the answer 421 to a start order for the former incarnation ended the new one with all of its runs, which start again elsewhere while they go on.

A stop order now holds the incarnation that was known when it was given. A confirmation of one for another incarnation is dropped, and the order is repeated at the next report; a 421 to an order for another incarnation drops the run of this order only.

Before the fix executor_restart_test confirmationOfTheFormerIncarnationDoesNotCount and refusalOfTheFormerIncarnationDoesNotEndTheNewOne failed: the run was dropped. Neither was seen in a run of processes.

--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -197,7 +197,8 @@
     if (!held)
         return;
     if (held->run != run.run) {
-        m_orders.emplace_back(stop_order{executor.info.id, run.task, run.run});
+        m_orders.emplace_back(stop_order{executor.info.id, run.task, run.run,
+                                         stop_reason::not_wanted, executor.info.startedUnixMs});
         return;
     }
     held->reported = true;
--- a/src/azurelb/scheduling/orders.hpp
+++ b/src/azurelb/scheduling/orders.hpp
@@ -34,6 +34,9 @@
     task_id task{};
     run_number run{0};
     stop_reason reason{stop_reason::not_wanted};
+    /** Incarnation that is known when the order is given: its start time in Unix milliseconds; 0 if
+        unknown. */
+    std::int64_t startedUnixMs{0};
 };
 
 /** Limits the share of the processor time that a backfill run may use. */
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -197,7 +197,8 @@
     held.phase = assignment_phase::stopping;
     held.stopConfirmed = false;
     held.stopSentAt = now;
-    m_orders.emplace_back(stop_order{executor.info.id, task, held.run, reason});
+    m_orders.emplace_back(
+        stop_order{executor.info.id, task, held.run, reason, executor.info.startedUnixMs});
 }
 
 void scheduler::markUnresponsive(const executor_id &id)
@@ -208,11 +209,13 @@
 
 void scheduler::applyStartOutcome(const start_order &order, start_outcome outcome, boot_time now)
 {
-    if (outcome == start_outcome::other_incarnation) {
+    executor_entry *const executor = m_executors.find(order.executor);
+    if (outcome == start_outcome::other_incarnation && executor
+        && executor->info.startedUnixMs == order.startedUnixMs)
+    {
         endExecutor(order.executor, now);
         return;
     }
-    executor_entry *const executor = m_executors.find(order.executor);
     // An order in flight at the restart may be carried out by the new incarnation until now.
     if (executor && executor->info.startedUnixMs != order.startedUnixMs && mayGrantLease(outcome))
         m_executors.recordFormerLease(*executor, now);
@@ -254,9 +257,13 @@
 
 void scheduler::applyStopOutcome(const stop_order &order, bool confirmed, boot_time now)
 {
+    const executor_entry *const executor = m_executors.find(order.executor);
     assignment *const held = m_executors.find(order.executor, order.task);
     if (!held || held->run != order.run || held->phase != assignment_phase::stopping || !confirmed)
         return;
+    // A former incarnation may have confirmed it.
+    if (executor->info.startedUnixMs != order.startedUnixMs)
+        return;
     held->stopConfirmed = true;
     held->confirmedAt = now;
 }
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(appliesEndsOfTheFirstReport);
     CPPUNIT_TEST(keepsRunsWhoseOrdersAreAnsweredLater);
     CPPUNIT_TEST(settlesUnansweredOrdersBeforeTheTaskStartsAgain);
+    CPPUNIT_TEST(confirmationOfTheFormerIncarnationDoesNotCount);
+    CPPUNIT_TEST(refusalOfTheFormerIncarnationDoesNotEndTheNewOne);
     CPPUNIT_TEST(restartsReportedRunsAtOnce);
     CPPUNIT_TEST(restartsUnreportedRunsAfterTheFirstReport);
     CPPUNIT_TEST(ignoresAReportOfTheFormerIncarnation);
@@ -134,6 +136,47 @@
         CPPUNIT_ASSERT(std::get<start_order>(next.front()).run > order.run);
     }
 
+    /** The stop order is confirmed before the restart, and the answer arrives after it. The new
+        incarnation knows nothing of it and may still get the start order. */
+    void confirmationOfTheFormerIncarnationDoesNotCount()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        addOther(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::unknown, at(600));
+        scheduling.applyReport("e", report(1), at(610), at(620));
+        const executor_orders stops = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        scheduling.registerExecutor(registration(2), at(700));
+        scheduling.applyStopOutcome(std::get<stop_order>(stops.front()), true, at(710));
+        scheduling.applyReport("e", report(2), at(720), at(730));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+        const executor_orders repeated = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, repeated.size());
+        scheduling.applyStopOutcome(std::get<stop_order>(repeated.front()), true, at(740));
+        scheduling.applyReport("e", report(2), at(750), at(760));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+    }
+
+    /** An order for the former incarnation was refused at its address by another executor. What
+        runs on the new incarnation goes on. */
+    void refusalOfTheFormerIncarnationDoesNotEndTheNewOne()
+    {
+        scheduler scheduling = makeScheduler();
+        scheduling.addJob(makeJob(jobA, 2), {}, 0, false, at(0));
+        advance(scheduling, at(0));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        const auto &first = std::get<start_order>(orders.front());
+        const auto &second = std::get<start_order>(orders.back());
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.applyReport("e", report(2, {first.task, first.run, {}, 10, 0}), at(110),
+                               at(120));
+        scheduling.applyStartOutcome(second, start_outcome::other_incarnation, at(130));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", first.task) != nullptr);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", second.task) == nullptr);
+    }
+
     /** The former incarnation listed the run, so it ended with it: the task need not wait. */
     void restartsReportedRunsAtOnce()
     {
