--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -53,6 +53,10 @@
     /** Records that a lease with this end, in the executor's clock, has been sent. */
     void recordLease(executor_entry &executor, std::chrono::milliseconds leaseEnd) const noexcept;
 
+    /** Records that a lease meant for the clock of a former incarnation may have reached the
+       present one, which shortens it to the longest term. */
+    void recordFormerLease(executor_entry &executor, boot_time since) const noexcept;
+
     /** Call when the executor has answered this owner: it accepts no leases of earlier owners from
         then on, which bounds the leases that they have granted. */
     void capEarlierLeases(executor_entry &executor, boot_time now) const noexcept;
@@ -82,7 +86,6 @@
     void removeFromPool(const executor_entry &executor);
     /** Returns the longest local time for which an executor holds a lease. */
     [[nodiscard]] std::chrono::milliseconds longestLease() const noexcept;
-    void expectFormerLeases(executor_entry &executor, boot_time since) const noexcept;
 
     scheduling_options m_options;
     std::unordered_map<executor_id, executor_entry> m_executors{};
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -28,6 +28,14 @@
 /** Time for which a long-running task must have reported full progress to count as available. */
 constexpr milliseconds minTimeAtWork{200};
 
+/** Returns whether the executor may have taken the lease of the order: it does so from refused
+   ones, too, if it has no room or knows the run. */
+bool mayGrantLease(start_outcome outcome) noexcept
+{
+    return outcome == start_outcome::started || outcome == start_outcome::unknown
+        || outcome == start_outcome::full || outcome == start_outcome::outdated;
+}
+
 } // namespace
 
 scheduler::scheduler(const scheduling_options &options, run_number runBase)
@@ -221,7 +229,8 @@
     held.phase = assignment_phase::stopping;
     held.stopConfirmed = false;
     held.stopSentAt = now;
-    m_orders.emplace_back(stop_order{executor.info.id, task, held.run, reason});
+    m_orders.emplace_back(
+        stop_order{executor.info.id, task, held.run, reason, executor.info.startedUnixMs});
 }
 
 void scheduler::markUnresponsive(const executor_id &id)
@@ -232,11 +241,16 @@
 
 void scheduler::applyStartOutcome(const start_order &order, start_outcome outcome, boot_time now)
 {
-    if (outcome == start_outcome::other_incarnation) {
+    executor_entry *const executor = m_executors.find(order.executor);
+    if (outcome == start_outcome::other_incarnation && executor
+        && executor->info.startedUnixMs == order.startedUnixMs)
+    {
         endExecutor(order.executor, now);
         return;
     }
-    executor_entry *const executor = m_executors.find(order.executor);
+    // An order in flight at the restart may be carried out by the new incarnation until now.
+    if (executor && executor->info.startedUnixMs != order.startedUnixMs && mayGrantLease(outcome))
+        m_executors.recordFormerLease(*executor, now);
     assignment *const held = m_executors.find(order.executor, order.task);
     if (!held || held->run != order.run)
         return;
@@ -257,6 +271,17 @@
     dropAssignment(*executor, order.task, release_reason::not_started, now);
 }
 
+void scheduler::recordAnswerOnOtherClock(const executor_id &id, boot_time now)
+{
+    executor_entry *const executor = m_executors.find(id);
+    if (!executor)
+        return;
+    m_executors.recordFormerLease(*executor, now);
+    // The next owner must learn of it even if this one never gets a report of the incarnation.
+    executor->info.hasRestarted = true;
+    executor->ownershipRecorded = false;
+}
+
 bool scheduler::isStartPending(const start_order &order) const
 {
     const executor_entry *const executor = m_executors.find(order.executor);
@@ -269,9 +294,13 @@
 
 void scheduler::applyStopOutcome(const stop_order &order, bool confirmed, boot_time now)
 {
+    const executor_entry *const executor = m_executors.find(order.executor);
     assignment *const held = m_executors.find(order.executor, order.task);
     if (!held || held->run != order.run || held->phase != assignment_phase::stopping || !confirmed)
         return;
+    // A former incarnation may have confirmed it.
+    if (executor->info.startedUnixMs != order.startedUnixMs)
+        return;
     held->stopConfirmed = true;
     held->confirmedAt = now;
 }
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -199,6 +199,7 @@
     CPPUNIT_TEST(orderThatMeetsAnotherIncarnationEndsAcknowledgementsToTheFormerOne);
     CPPUNIT_TEST(eachEndIsAcknowledgedOnce);
     CPPUNIT_TEST(nothingIsRenewedBehindAnUnansweredOrder);
+    CPPUNIT_TEST(runOnAnotherClockIsNotRepeatedDuringItsLease);
     CPPUNIT_TEST(handsOverWhileItIsBehind);
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
@@ -368,7 +369,31 @@
         CPPUNIT_ASSERT(m_gateway.requests.back().leaseEnd);
     }
 
-    /** The same after a longer cut, in which the store removes the registration of the executor. */
+    /** The executor is cut off before it has registered again or reported, so that only the
+       answer shows that another incarnation carries the order out, under the longest lease. */
+    void runOnAnotherClockIsNotRepeatedDuringItsLease()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+        m_gateway.silentExecutor = executorName;
+        registerExecutor("e2");
+        m_gateway.queue.front().done({start_outcome::started, milliseconds{3'600'000}});
+        run(milliseconds{5000});
+        // An event on the jobs confirms them, so that starts are permitted.
+        m_store.put(store_keys::jobCancel(secondJob), "{}");
+        run(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+        run(milliseconds{1500});
+        m_store.put(store_keys::jobCancel(secondJob), "{}");
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway.queue.size());
+        CPPUNIT_ASSERT_EQUAL(executor_id{"e2"}, m_gateway.queue.back().order.executor);
+    }
+
+    /** The same after a longer cut, in which the store removes the registration of the
+     * executor. */
     void usesAnExecutorThatRegistersAgainAfterACut()
     {
         startOwner();
@@ -383,8 +408,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway.queue.size());
     }
 
-    /** An executor that has answered with another incarnation stays unused while the store still
-       lists the former one. */
+    /** An executor that has answered with another incarnation stays unused while the store
+       still lists the former one. */
     void doesNotUseAnEndedExecutorThatIsStillListed()
     {
         startOwner();
@@ -399,8 +424,8 @@
         CPPUNIT_ASSERT(m_gateway.queue.empty());
     }
 
-    /** An incarnation that has ended must not be taken for a new one when the directory or the tick
-       registers it again before the next scheduling pass. */
+    /** An incarnation that has ended must not be taken for a new one when the directory or the
+       tick registers it again before the next scheduling pass. */
     void registrationBeforeThePassDoesNotReviveAnEndedExecutor()
     {
         startOwner();
@@ -414,8 +439,9 @@
         CPPUNIT_ASSERT(m_gateway.queue.empty());
     }
 
-    /** Three of four pools have had a burst under the previous owner, one every four seconds, and
-        the fourth is due. An owner that forgets them moves VMs only after the burst has begun. */
+    /** Three of four pools have had a burst under the previous owner, one every four seconds,
+       and the fourth is due. An owner that forgets them moves VMs only after the burst has
+       begun. */
     void expectsTheNextBurstAfterATakeover()
     {
         putFinishedBurst("a", milliseconds{12'000});
@@ -426,9 +452,9 @@
         CPPUNIT_ASSERT(m_vms.movesTo["d"] >= 4);
     }
 
-    /** Orders get no answer while the VM service is slow, and are carried out late; its list may
-       show a state of a second ago. An order that counts as failed too soon frees its place in a
-       wave: more VMs than permitted were in maintenance. */
+    /** Orders get no answer while the VM service is slow, and are carried out late; its list
+       may show a state of a second ago. An order that counts as failed too soon frees its place
+       in a wave: more VMs than permitted were in maintenance. */
     void orderIsNotGivenUpByAListThatMayBeOlder()
     {
         putFinishedBurst("a", milliseconds{12'000});
@@ -466,8 +492,9 @@
         CPPUNIT_ASSERT(m_waveDeadline - boot_clock::now() < milliseconds{2500});
     }
 
-    /** The order for a VM's maintenance gets no answer and is lost, and the VM's executor crashes.
-       If its successor counts as proof, the wave is shown as completed without that maintenance. */
+    /** The order for a VM's maintenance gets no answer and is lost, and the VM's executor
+       crashes. If its successor counts as proof, the wave is shown as completed without that
+       maintenance. */
     void newExecutorIsNoProofOfMaintenance()
     {
         startWave();
@@ -495,8 +522,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
     }
 
-    /** An earlier owner may have ordered the maintenance, which the platform then confirms again
-        without any effect: the executor lives on. */
+    /** An earlier owner may have ordered the maintenance, which the platform then confirms
+       again without any effect: the executor lives on. */
     void repeatedMaintenanceOrderEndsNoExecutor()
     {
         m_vms.answersMaintenance = true;
@@ -573,8 +600,8 @@
         CPPUNIT_ASSERT(m_gateway.queue.empty());
     }
 
-    /** The predecessor had read a newer configuration, and the executor lists the end of a run that
-        it started under that one. If the end is dropped, the task runs again. */
+    /** The predecessor had read a newer configuration, and the executor lists the end of a run
+       that it started under that one. If the end is dropped, the task runs again. */
     void endsOfJobsUnderAnUnreadConfigurationCount()
     {
         job_record job = makeJob(firstJob);
@@ -593,8 +620,8 @@
         CPPUNIT_ASSERT(stored && stored->state == job_state::completed);
     }
 
-    /** The predecessor started a job that was stored after this owner had read the jobs; the watch
-        that shows it is late. */
+    /** The predecessor started a job that was stored after this owner had read the jobs; the
+       watch that shows it is late. */
     void endsOfUnreadJobsAreNotAcknowledged()
     {
         startOwner();
@@ -611,8 +638,8 @@
         CPPUNIT_ASSERT(stored && stored->state == job_state::completed);
     }
 
-    /** A job that took longer than its retention was removed by the next owner, seconds after it
-       had completed: its caller was told that it doesn't exist. */
+    /** A job that took longer than its retention was removed by the next owner, seconds after
+       it had completed: its caller was told that it doesn't exist. */
     void endedJobsAreKeptFromTheirEndOn()
     {
         putEndedJob(unixNow() - milliseconds{5000});
@@ -649,8 +676,8 @@
         CPPUNIT_ASSERT(age >= milliseconds{0} && age < milliseconds{1000});
     }
 
-    /** The VM of a recorded executor was moved right before the takeover. Nobody holds the lease of
-        its runs any more, so the jobs of its pool need not wait for it. */
+    /** The VM of a recorded executor was moved right before the takeover. Nobody holds the
+       lease of its runs any more, so the jobs of its pool need not wait for it. */
     void inheritedJobsDoNotWaitForAnExecutorThatWasReplaced()
     {
         recordLostExecutor(milliseconds{20'000});
@@ -710,8 +737,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"closed"}, lastOwner());
     }
 
-    /** The owner of a fleet of 1,100 executors needs more than a tenth of a core: with a small VM
-       as owner runs lapsed and jobs were lost from the callers' view. */
+    /** The owner of a fleet of 1,100 executors needs more than a tenth of a core: with a small
+       VM as owner runs lapsed and jobs were lost from the callers' view. */
     void yieldsToAMuchLargerVm()
     {
         m_store.put(store_keys::candidate("same"), "1.5");
@@ -749,8 +776,8 @@
         CPPUNIT_ASSERT_EQUAL(0, m_yields);
     }
 
-    /** A client for an address that is none can't be made: each owner would end as soon as it has
-        read the record. */
+    /** A client for an address that is none can't be made: each owner would end as soon as it
+       has read the record. */
     void recordWithoutAnAddressNamesNoExecutor()
     {
         for (const char *const address : {"10.0.0.7:99999", "10.0.0.7", "10.0.0.7:0"}) {
@@ -955,7 +982,8 @@
         }
     }
 
-    /** Starts the owner of four pools of five VMs each, of which the last has had no work yet. */
+    /** Starts the owner of four pools of five VMs each, of which the last has had no work yet.
+     */
     void startOwnerOfPools()
     {
         desired_state desired;
@@ -993,7 +1021,8 @@
         return job;
     }
 
-    /** Records an executor that does not answer and whose VM the list shows with another one. */
+    /** Records an executor that does not answer and whose VM the list shows with another one.
+     */
     void recordLostExecutor(milliseconds age)
     {
         executor_registration info;
@@ -1019,8 +1048,8 @@
         run(milliseconds{300});
     }
 
-    /** Starts an owner whose only VM is due for maintenance in a wave, and gives it time to order
-        that. */
+    /** Starts an owner whose only VM is due for maintenance in a wave, and gives it time to
+       order that. */
     void startWave()
     {
         wave_entry wave;
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(appliesEndsOfTheFirstReport);
     CPPUNIT_TEST(keepsRunsWhoseOrdersAreAnsweredLater);
     CPPUNIT_TEST(settlesUnansweredOrdersBeforeTheTaskStartsAgain);
+    CPPUNIT_TEST(confirmationOfTheFormerIncarnationDoesNotCount);
+    CPPUNIT_TEST(refusalOfTheFormerIncarnationDoesNotEndTheNewOne);
     CPPUNIT_TEST(restartsReportedRunsAtOnce);
     CPPUNIT_TEST(restartsUnreportedRunsAfterTheFirstReport);
     CPPUNIT_TEST(ignoresAReportOfTheFormerIncarnation);
@@ -37,6 +39,9 @@
     CPPUNIT_TEST(newOwnerAdoptsRunsOfAnUnrecordedIncarnation);
     CPPUNIT_TEST(newOwnerWaitsForAnUnreachableIncarnation);
     CPPUNIT_TEST(leaseOfTheFormerClockLastsUpToTheLongestTerm);
+    CPPUNIT_TEST(orderCarriedOutAfterTheRestartHoldsTheLongestLease);
+    CPPUNIT_TEST(orderRefusedAfterTheRestartExtendsTheLease);
+    CPPUNIT_TEST(orderForThePresentIncarnationHoldsItsOwnLease);
     CPPUNIT_TEST(orderOfADroppedRunIsNotPending);
     CPPUNIT_TEST(newOwnerDoesNotRepeatRunsOfARestartedExecutor);
     CPPUNIT_TEST(newOwnerWaitsForLeasesOfTheFormerClock);
@@ -134,6 +139,47 @@
         CPPUNIT_ASSERT(std::get<start_order>(next.front()).run > order.run);
     }
 
+    /** The stop order is confirmed before the restart, and the answer arrives after it. The new
+        incarnation knows nothing of it and may still get the start order. */
+    void confirmationOfTheFormerIncarnationDoesNotCount()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        addOther(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::unknown, at(600));
+        scheduling.applyReport("e", report(1), at(610), at(620));
+        const executor_orders stops = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        scheduling.registerExecutor(registration(2), at(700));
+        scheduling.applyStopOutcome(std::get<stop_order>(stops.front()), true, at(710));
+        scheduling.applyReport("e", report(2), at(720), at(730));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+        const executor_orders repeated = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, repeated.size());
+        scheduling.applyStopOutcome(std::get<stop_order>(repeated.front()), true, at(740));
+        scheduling.applyReport("e", report(2), at(750), at(760));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+    }
+
+    /** An order for the former incarnation was refused at its address by another executor. What
+        runs on the new incarnation goes on. */
+    void refusalOfTheFormerIncarnationDoesNotEndTheNewOne()
+    {
+        scheduler scheduling = makeScheduler();
+        scheduling.addJob(makeJob(jobA, 2), {}, 0, false, at(0));
+        advance(scheduling, at(0));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        const auto &first = std::get<start_order>(orders.front());
+        const auto &second = std::get<start_order>(orders.back());
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.applyReport("e", report(2, {first.task, first.run, {}, 10, 0}), at(110),
+                               at(120));
+        scheduling.applyStartOutcome(second, start_outcome::other_incarnation, at(130));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", first.task) != nullptr);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", second.task) == nullptr);
+    }
+
     /** The former incarnation listed the run, so it ended with it: the task need not wait. */
     void restartsReportedRunsAtOnce()
     {
@@ -297,6 +343,52 @@
         CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
     }
 
+    /** The order is in flight while the owner learns of the restart, and is carried out up to the
+        moment at which it is given up. Then the executor is cut off. */
+    void orderCarriedOutAfterTheRestartHoldsTheLongestLease()
+    {
+        for (const start_outcome outcome : {start_outcome::started, start_outcome::unknown}) {
+            scheduler scheduling = makeScheduler();
+            const start_order order = placeOne(scheduling);
+            scheduling.registerExecutor(registration(2), at(100));
+            scheduling.applyStartOutcome(order, outcome, at(700));
+            scheduling.markUnresponsive("e");
+            advance(scheduling, at(700 + longestLeaseMs));
+            CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) != nullptr);
+            // A further second covers calls that reach the executor late.
+            advance(scheduling, at(2000 + longestLeaseMs));
+            CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+        }
+    }
+
+    /** A refusal for want of room extends the lease of the runs that are there. */
+    void orderRefusedAfterTheRestartExtendsTheLease()
+    {
+        scheduler scheduling = makeScheduler();
+        scheduling.addJob(makeJob(jobA, 2), {}, 0, false, at(0));
+        advance(scheduling, at(0));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        const auto &first = std::get<start_order>(orders.front());
+        scheduling.registerExecutor(registration(2), at(100));
+        scheduling.applyStartOutcome(first, start_outcome::started, at(110));
+        scheduling.applyStartOutcome(std::get<start_order>(orders.back()), start_outcome::full,
+                                     at(700));
+        scheduling.markUnresponsive("e");
+        advance(scheduling, at(700 + longestLeaseMs));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", first.task) != nullptr);
+    }
+
+    void orderForThePresentIncarnationHoldsItsOwnLease()
+    {
+        scheduler scheduling = makeScheduler();
+        const start_order order = placeOne(scheduling);
+        scheduling.applyStartOutcome(order, start_outcome::unknown, at(600));
+        scheduling.markUnresponsive("e");
+        advance(scheduling, at(4000));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+    }
+
     /** Orders wait for a connection: one that is sent after its run was given up would start a
         second run on a new incarnation, which knows nothing of the former lease. */
     void orderOfADroppedRunIsNotPending()
@@ -357,6 +449,9 @@
     }
 
 private:
+    /** Longest lease on a clock that is 2 % slow. */
+    static constexpr int longestLeaseMs{6122};
+
     [[nodiscard]] static boot_time at(int millis)
     {
         return boot_time{std::chrono::seconds{1000}} + milliseconds{millis};
