Restarts: a refused report request for the former incarnation doesn't end the new one

Cause: the answer 421 to a report request ended the executor with all of its runs, whichever incarnation was known when the request was sent. If it arrives after the registration of a new incarnation, the runs of that one would be taken for ended, and it wouldn't be used again. Now it counts as no answer then.

Before the fix owner_test refusedReportOfTheFormerIncarnationDoesNotEndTheNewOne failed: the run was dropped. Not seen in a run of processes.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -216,11 +216,20 @@
         request.wait = reportWait(*executor);
     }
     to.reportPending = true;
-    m_services.executors.report(
-        request, [this, id, now, alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
-            if (!alive.expired())
-                handleReport(id, std::move(reply), now);
-        });
+    m_services.executors.report(request,
+                                [this, id, now, startedUnixMs = request.startedUnixMs,
+                                 alive = std::weak_ptr<bool>{m_alive}](executor_reply &&reply) {
+                                    if (alive.expired())
+                                        return;
+                                    const executor_entry *const present =
+                                        m_scheduler.executors().find(id);
+                                    // The refusal concerns the incarnation that was known when the
+                                    // report was requested.
+                                    if (reply.outcome == report_outcome::other_incarnation
+                                        && present && present->info.startedUnixMs != startedUnixMs)
+                                        reply.outcome = report_outcome::no_answer;
+                                    handleReport(id, std::move(reply), now);
+                                });
 }
 
 void owner::requestReportAfter(const executor_id &id, milliseconds pause)
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -51,6 +51,10 @@
     void report(const report_request &request, report_handler done) override
     {
         asked.insert(request.executor);
+        if (holdsReports) {
+            heldReports.push_back(std::move(done));
+            return;
+        }
         if (silent || request.executor == silentExecutor) {
             boost::asio::post(m_loop, [done = std::move(done)] { done(executor_reply{}); });
             return;
@@ -90,6 +94,9 @@
     /** Executors do not answer. */
     bool silent{false};
     executor_id silentExecutor{};
+    /** Report requests are answered by the test. */
+    bool holdsReports{false};
+    std::vector<report_handler> heldReports{};
     /** End that is listed until it is acknowledged; none if its sequence is 0. */
     ended_run lastEnd{};
 
@@ -161,6 +168,7 @@
     CPPUNIT_TEST(usesAnExecutorThatRegistersAgainAfterACut);
     CPPUNIT_TEST(doesNotUseAnEndedExecutorThatIsStillListed);
     CPPUNIT_TEST(registrationBeforeThePassDoesNotReviveAnEndedExecutor);
+    CPPUNIT_TEST(refusedReportOfTheFormerIncarnationDoesNotEndTheNewOne);
     CPPUNIT_TEST(expectsTheNextBurstAfterATakeover);
     CPPUNIT_TEST(orderIsNotGivenUpByAListThatMayBeOlder);
     CPPUNIT_TEST(deadlineOfAWaveSurvivesATakeover);
@@ -338,6 +346,23 @@
         CPPUNIT_ASSERT(m_gateway.queue.empty());
     }
 
+    /** Another executor has refused a report request for the former incarnation at its address; the
+        answer arrives after the new registration. */
+    void refusedReportOfTheFormerIncarnationDoesNotEndTheNewOne()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+        m_gateway.holdsReports = true;
+        run(milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.heldReports.size());
+        registerExecutor(executorName, "", 2);
+        m_gateway.heldReports.front()({report_outcome::other_incarnation, {}});
+        run(milliseconds{100});
+        CPPUNIT_ASSERT(m_gateway.queue.front().maySend());
+    }
+
     /** An incarnation that has ended must not be taken for a new one when the directory or the tick
        registers it again before the next scheduling pass. */
     void registrationBeforeThePassDoesNotReviveAnEndedExecutor()
@@ -836,7 +861,8 @@
         run(milliseconds{3400});
     }
 
-    void registerExecutor(const std::string &id = executorName, const std::string &vm = "")
+    void registerExecutor(const std::string &id = executorName, const std::string &vm = "",
+                          std::int64_t startedUnixMs = 1)
     {
         executor_registration info;
         info.id = id;
@@ -844,7 +870,7 @@
         info.address = "127.0.0.1:1";
         info.pool = "pool";
         info.capacity = {8000, 8000, 0};
-        info.startedUnixMs = 1;
+        info.startedUnixMs = startedUnixMs;
         m_directory.updated(info);
     }
 
