Test of the executor client: the executor that closes connections closes them

The fixture set `Connection: close` on its answers, but http_server replaces that field, so that no connection was ever closed and the tests of such executors tested others. A server of the fixture's own closes each now.

acknowledgesToAnExecutorThatClosesConnections checks both acknowledgements and renewals, and that each follows an identification (4 requests for 2 reports).

--- a/test/platform/executor_client_test.cpp
+++ b/test/platform/executor_client_test.cpp
@@ -1,13 +1,21 @@
 #include <support/reserved_port.hpp>
 #include <support/run_until.hpp>
 
+#include <azurelb/http/endpoint.hpp>
 #include <azurelb/http/http_limits.hpp>
 #include <azurelb/http/http_server.hpp>
 #include <azurelb/http/problem_response.hpp>
 #include <platform/executor_client.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -28,12 +36,57 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 namespace json = boost::json;
+using asio::ip::tcp;
 
 /** The executor leaves its start time out of what it says. */
 constexpr std::int64_t unnamedIncarnation{0};
 constexpr std::int64_t firstIncarnation{1};
 constexpr std::int64_t secondIncarnation{2};
 
+/** HTTP server that closes each connection after one exchange; http_server keeps them. */
+class closing_server
+{
+public:
+    closing_server(asio::io_context &loop, const tcp::endpoint &address, request_handler handler)
+        : m_acceptor{std::make_shared<tcp::acceptor>(loop, address)}
+    {
+        asio::co_spawn(loop, serve(m_acceptor, std::move(handler)), asio::detached);
+    }
+
+    closing_server(const closing_server &) = delete;
+    closing_server &operator=(const closing_server &) = delete;
+
+    ~closing_server()
+    {
+        boost::system::error_code ignored;
+        m_acceptor->close(ignored);
+    }
+
+private:
+    static asio::awaitable<void> serve(std::shared_ptr<tcp::acceptor> acceptor,
+                                       request_handler handler)
+    {
+        while (acceptor->is_open()) {
+            boost::system::error_code failure;
+            tcp::socket socket =
+                co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, failure));
+            boost::beast::flat_buffer buffer;
+            http_request request;
+            if (!failure)
+                co_await http::async_read(socket, buffer, request,
+                                          asio::redirect_error(asio::use_awaitable, failure));
+            if (failure || !acceptor->is_open())
+                continue;
+            http_response response = co_await handler(request);
+            response.keep_alive(false);
+            co_await http::async_write(socket, response,
+                                       asio::redirect_error(asio::use_awaitable, failure));
+        }
+    }
+
+    std::shared_ptr<tcp::acceptor> m_acceptor;
+};
+
 /** How a recording_executor answers. */
 struct executor_behaviour
 {
@@ -52,14 +105,23 @@
                        const executor_behaviour &behaviour)
         : m_loop{loop}
         , m_behaviour{behaviour}
-        , m_server{loop, address, http_limits{}, [this](const http_request &request) {
-                       return answer(request);
-                   }}
     {
-        m_server.start();
+        const request_handler handler = [this](const http_request &request) {
+            return answer(request);
+        };
+        if (behaviour.keepsConnections) {
+            m_server.emplace(loop, address, http_limits{}, handler);
+            m_server->start();
+        } else {
+            m_closingServer.emplace(loop, parseEndpoint(address).value(), handler);
+        }
     }
 
-    ~recording_executor() { m_server.close(); }
+    ~recording_executor()
+    {
+        if (m_server)
+            m_server->close();
+    }
 
     /** Report requests. */
     std::vector<json::object> requests{};
@@ -79,13 +141,13 @@
             body["born"] = m_behaviour.startedUnixMs;
         http_response made = jsonResponse(isStart ? http::status::ok : m_behaviour.reportStatus,
                                           json::serialize(body));
-        made.keep_alive(m_behaviour.keepsConnections);
         co_return made;
     }
 
     asio::io_context &m_loop;
     executor_behaviour m_behaviour;
-    http_server m_server;
+    std::optional<http_server> m_server{};
+    std::optional<closing_server> m_closingServer{};
 };
 
 class executor_client_test : public CppUnit::TestFixture
@@ -155,6 +217,11 @@
         recording_executor executor{m_loop, m_port.text(), {.keepsConnections = false}};
         requestReports(2);
         CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 1));
+        // Each request follows its identification.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, executor.requests.size());
+        CPPUNIT_ASSERT_EQUAL(acknowledged, lastSeen(executor, 3));
+        CPPUNIT_ASSERT(executor.requests.at(1).contains("ExpiresMs"));
+        CPPUNIT_ASSERT(executor.requests.at(3).contains("ExpiresMs"));
     }
 
     /** Each report request goes out on a new connection, so that any of them may be the first to
