--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -289,6 +289,11 @@
         m_onLost("an executor has accepted orders from a newer owner");
         return;
     }
+    // The refusal concerns the incarnation that was known when the report was requested.
+    const executor_entry *const known = m_scheduler.executors().find(id);
+    if (reply.outcome == report_outcome::other_incarnation && known
+        && known->info.startedUnixMs != request.startedUnixMs)
+        reply.outcome = report_outcome::no_answer;
     if (reply.outcome == report_outcome::other_incarnation) {
         logEvent(event::executor_ended,
                  {{"executor", id}, {"reason", "another incarnation answered"}});
