--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -234,8 +234,11 @@
         each->setStoreFault(noFault);
         each->signal(SIGCONT);
     }
-    for (soak_executor &each : m_executors)
+    for (soak_executor &each : m_executors) {
         setProxy(each, noFault);
+        if (each.hasUnnamedEntry)
+            registerExecutor(each);
+    }
     restartEndedDaemons();
 }
 
@@ -328,8 +331,9 @@
     registerExecutor(chosen);
 }
 
-void soak_scenario::registerExecutor(const soak_executor &executor)
+void soak_scenario::registerExecutor(soak_executor &executor)
 {
+    executor.hasUnnamedEntry = false;
     m_store.state().put(
         "servers/" + executor.id,
         executor.endpoint->registration(standin::toString(executor.proxy->address())));
@@ -436,6 +440,7 @@
 void soak_scenario::restartWithUnnamedEntry()
 {
     soak_executor &chosen = randomExecutor();
+    chosen.hasUnnamedEntry = true;
     m_store.state().put(
         "servers/" + chosen.id,
         chosen.endpoint->unnamedRegistration(standin::toString(chosen.proxy->address())));
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -58,6 +58,8 @@
         std::unique_ptr<executor_endpoint> endpoint{};
         std::unique_ptr<standin::forwarder> proxy{};
         bool closesConnections{false};
+        /** Its entry in the directory names no incarnation. */
+        bool hasUnnamedEntry{false};
     };
     struct fault
     {
@@ -91,7 +93,7 @@
     void cutOffAndEndOwner(const executor_list &executors, std::chrono::milliseconds pause);
     [[nodiscard]] bool hasClosingExecutors() const;
     [[nodiscard]] executor_list closingExecutors();
-    void registerExecutor(const soak_executor &executor);
+    void registerExecutor(soak_executor &executor);
     /** Returns the daemon that holds the owner's key; nullptr if there is none. */
     [[nodiscard]] soak_daemon *findOwner();
     void setProxy(soak_executor &executor, const std::string &fault);
