--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -326,7 +326,7 @@
     m_scheduler.applyReport(id, reply.report, askedAt, now);
     scheduleAdvance();
     executor_entry *const executor = m_scheduler.executors().find(id);
-    if (executor && executor->info.startedUnixMs == request.startedUnixMs)
+    if (executor && !reply.reduced && reply.report.startedUnixMs == request.startedUnixMs)
         executor->lastAcknowledgedEnd =
             std::max(executor->lastAcknowledgedEnd, request.acknowledged);
     if (executor && m_scheduler.hasUndecidedRuns(*executor)) {
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -90,7 +90,7 @@
     collectExecutors();
     for (std::string &key : std::exchange(m_removals, {})) {
         if (!isRecordNeeded(key))
-            m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}, 0});
+            m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}});
     }
 }
 
@@ -111,8 +111,7 @@
         m_units.push_back(
             {{{{key, job->storedRevision}}, {{key, encode(job_table::progressOf(*job)), 0}}, {}},
              id,
-             {},
-             0});
+             {}});
     }
 }
 
@@ -125,8 +124,7 @@
             m_units.push_back(
                 {{{}, {{store_keys::executor(id), encodeRegistration(executor.info), 0}}, {}},
                  {},
-                 id,
-                 executor.info.startedUnixMs});
+                 id});
     }
 }
 
@@ -183,7 +181,8 @@
         if (job_entry *const job = m_scheduler.jobs().find(each.job))
             job->storedRevision = revision;
         executor_entry *const executor = m_scheduler.executors().find(each.enrolled);
-        if (executor && executor->info.startedUnixMs == each.enrolledStartedUnixMs)
+        // The executor may have changed during the write.
+        if (executor && each.write.puts.front().value == encodeRegistration(executor->info))
             executor->ownershipRecorded = true;
     }
 }
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -53,8 +53,6 @@
         keyspace_write write{};
         job_id job{};
         executor_id enrolled{};
-        /** Start time of the enrolled incarnation, Unix time in milliseconds. */
-        std::int64_t enrolledStartedUnixMs{0};
     };
 
     void flush();
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -13,6 +13,8 @@
 /** Time after which a call no longer reaches an executor: the timeout of an order, and the
     difference between two Unix clocks. */
 constexpr milliseconds maxCallDelay{1000};
+/** Age from which a recorded restart doesn't matter, even if Unix clocks have jumped. */
+constexpr milliseconds restartMemory{60'000};
 
 /** The labels name the executor's kind and its rack; rack names begin with r and a digit. */
 std::string rackOf(const std::vector<std::string> &labels)
@@ -47,17 +49,21 @@
         executor.latestLeaseEnd = now + m_options.maxTimeSinceRenewal - m_options.ownerLeaseTerm
             + std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor)
             + m_options.leaseMargin;
-        const milliseconds sinceStart = info.hasRestarted ? milliseconds{0} : age;
-        if (sinceStart < maxCallDelay + longestLease())
-            recordFormerLease(executor, now - std::max(sinceStart, milliseconds{0}));
+        const bool restartCounts =
+            info.hasRestarted && (age < restartMemory || age == milliseconds::max());
+        const milliseconds sinceStart =
+            std::clamp(restartCounts ? milliseconds{0} : age, milliseconds{0}, restartMemory);
+        if (formerLeaseEnd(now - sinceStart) > now)
+            recordFormerLease(executor, now - sinceStart);
     }
     if (!isNew && executor.info.pool != info.pool) {
         removeFromPool(executor);
-        executor.ownershipRecorded = false;
     }
     if (isNew || executor.info.pool != info.pool)
         m_pools[info.pool].push_back(&executor);
     const executor_registration known = std::exchange(executor.info, info);
+    if (!isNew && (known.pool != info.pool || known.zone != info.zone || known.vm != info.vm))
+        executor.ownershipRecorded = false;
     if (info.startedUnixMs == 0)
         executor.info.startedUnixMs = known.startedUnixMs;
     executor.info.hasRestarted = known.hasRestarted || info.hasRestarted;
@@ -168,9 +174,10 @@
         std::max(executor.latestLeaseEnd, executor.clockReadAt + term + m_options.leaseMargin);
 }
 
-milliseconds executor_table::longestLease() const noexcept
+boot_time executor_table::formerLeaseEnd(boot_time sentBy) const noexcept
 {
-    return std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
+    return sentBy + maxCallDelay
+        + std::chrono::duration_cast<milliseconds>(m_options.maxLeaseTerm * slowClockFactor)
         + m_options.leaseMargin;
 }
 
@@ -178,8 +185,7 @@
     its restart is known. */
 void executor_table::recordFormerLease(executor_entry &executor, boot_time since) const noexcept
 {
-    const boot_time end = since + maxCallDelay + longestLease();
-    executor.formerLeaseEnd = std::max(executor.formerLeaseEnd, end);
+    executor.formerLeaseEnd = std::max(executor.formerLeaseEnd, formerLeaseEnd(since));
     executor.latestLeaseEnd = std::max(executor.latestLeaseEnd, executor.formerLeaseEnd);
 }
 
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -57,6 +57,10 @@
        present one, which shortens it to the longest term. */
     void recordFormerLease(executor_entry &executor, boot_time since) const noexcept;
 
+    /** Returns an upper bound on the end of a lease that is meant for the clock of a former
+        incarnation and was sent by the given time. */
+    [[nodiscard]] boot_time formerLeaseEnd(boot_time sentBy) const noexcept;
+
     /** Call when the executor has answered this owner: it accepts no leases of earlier owners from
         then on, which bounds the leases that they have granted. */
     void capEarlierLeases(executor_entry &executor, boot_time now) const noexcept;
@@ -84,8 +88,6 @@
 
 private:
     void removeFromPool(const executor_entry &executor);
-    /** Returns the longest local time for which an executor holds a lease. */
-    [[nodiscard]] std::chrono::milliseconds longestLease() const noexcept;
 
     scheduling_options m_options;
     std::unordered_map<executor_id, executor_entry> m_executors{};
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -176,14 +176,17 @@
     m_executors.erase(id);
 }
 
-void scheduler::giveUpRuns(executor_entry &executor, boot_time now)
+void scheduler::giveUpRuns(executor_entry &executor, boot_time leasesOverAt, boot_time now)
 {
-    for (const auto &[task, held] : executor.assignments)
+    std::vector<task_id> given;
+    for (const auto &[task, held] : executor.assignments) {
+        if (held.unheardLeaseEnd > leasesOverAt)
+            continue;
         executor.lapsedRuns.push_back({task, held.run});
-    while (!executor.assignments.empty()) {
-        const task_id task = executor.assignments.begin()->first;
-        dropAssignment(executor, task, release_reason::lease_over, now);
+        given.push_back(task);
     }
+    for (const task_id &task : given)
+        dropAssignment(executor, task, release_reason::lease_over, now);
 }
 
 void scheduler::dropAssignment(executor_entry &executor, const task_id &task, release_reason reason,
@@ -259,6 +262,8 @@
             held->phase = outcome == start_outcome::started ? assignment_phase::running
                                                             : assignment_phase::unconfirmed;
             held->confirmedAt = now;
+            if (outcome == start_outcome::unknown)
+                held->unheardLeaseEnd = m_executors.formerLeaseEnd(now);
         }
         return;
     }
@@ -325,12 +330,11 @@
         if (mayHaveUnknownRuns(executor, before) && !mayHaveUnknownRuns(executor, now))
             m_notices.emplace_back(earlier_leases_over_notice{id, executor.info.startedUnixMs});
     }
-    for (const executor_id &id : m_executors.executorsWithExpiredLease(std::min(now, confirmedAt)))
-    {
+    const boot_time leasesOverAt = std::min(now, confirmedAt);
+    for (const executor_id &id : m_executors.executorsWithExpiredLease(leasesOverAt)) {
         executor_entry &executor = *m_executors.find(id);
-        if (executor.registered)
-            giveUpRuns(executor, now);
-        else
+        giveUpRuns(executor, leasesOverAt, now);
+        if (!executor.registered && executor.assignments.empty())
             endExecutor(id, release_reason::lease_over, now);
     }
     for (auto &[id, executor] : m_executors.all()) {
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -210,9 +210,9 @@
     void stopLongRunningIfDraining(executor_entry &executor, boot_time now);
 
     void checkExecutors(boot_time now, boot_time confirmedAt);
-    /** Gives up the runs of an executor whose lease has expired; the executor is used again once it
-        answers. */
-    void giveUpRuns(executor_entry &executor, boot_time now);
+    /** Gives up the runs of an executor whose leases were over at the given time; the executor is
+        used again once it answers. */
+    void giveUpRuns(executor_entry &executor, boot_time leasesOverAt, boot_time now);
     [[nodiscard]] std::vector<waiting_step>
     waitingSteps(const std::string &name, const pool_candidates &pool, boot_time now) const;
     [[nodiscard]] bool isUsable(const executor_entry &executor, boot_time now) const;
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -71,6 +71,12 @@
                 reply.report.clock = milliseconds{1000};
                 reply.report.startedUnixMs = startedUnixMs;
                 reply.reduced = reduced;
+                if (request.acknowledged != 0 && answerToAcknowledgement != 0) {
+                    reply.report.startedUnixMs = std::exchange(answerToAcknowledgement, 0);
+                    reply.reduced = true;
+                    done(std::move(reply));
+                    return;
+                }
                 acknowledged = std::max(acknowledged, request.acknowledged);
                 const bool lists = acknowledged < lastEnd.sequence;
                 if (lists)
@@ -102,6 +108,8 @@
     std::int64_t startedUnixMs{1};
     /** Report requests are sent without acknowledgement and lease. */
     bool reduced{false};
+    /** Incarnation that answers the identification before the next acknowledgement; 0 if none. */
+    std::int64_t answerToAcknowledgement{0};
     /** Executors do not answer. */
     bool silent{false};
     executor_id silentExecutor{};
@@ -221,6 +229,7 @@
     CPPUNIT_TEST(reportOnAnotherIncarnationIsLogged);
     CPPUNIT_TEST(withheldAcknowledgementIsLogged);
     CPPUNIT_TEST(silentExecutorIsLoggedWithWhatItMayHaveGot);
+    CPPUNIT_TEST(withheldAcknowledgementIsRepeated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -393,9 +402,11 @@
         m_store.put(store_keys::jobCancel(secondJob), "{}");
         run(milliseconds{500});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
-        run(milliseconds{1500});
-        m_store.put(store_keys::jobCancel(secondJob), "{}");
-        run(milliseconds{300});
+        constexpr int attempts{20};
+        for (int attempt = 0; attempt < attempts && m_gateway.queue.size() < 2; ++attempt) {
+            m_store.put(store_keys::jobCancel(secondJob), "{}");
+            run(milliseconds{200});
+        }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway.queue.size());
         CPPUNIT_ASSERT_EQUAL(executor_id{"e2"}, m_gateway.queue.back().order.executor);
     }
@@ -956,6 +967,25 @@
         CPPUNIT_ASSERT(std::stoll(fieldOf(line, "lease_end_ms")) > 1000);
     }
 
+    /** The identification was answered by the former incarnation, so that nothing was sent. */
+    void withheldAcknowledgementIsRepeated()
+    {
+        startOwner();
+        registerExecutor();
+        run(milliseconds{300});
+        m_gateway.startedUnixMs = 2;
+        run(milliseconds{300});
+        m_gateway.answerToAcknowledgement = 1;
+        m_gateway.lastEnd = {1, {firstJob, 0, 0, 0}, 7, run_end::done, {}};
+        run(milliseconds{800});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_gateway.answerToAcknowledgement);
+        const auto &requests = m_gateway.requests;
+        const auto acknowledges = [](const report_request &each) {
+            return each.acknowledged != 0 && each.startedUnixMs == 2;
+        };
+        CPPUNIT_ASSERT(std::count_if(requests.begin(), requests.end(), acknowledges) > 1);
+    }
+
 private:
     [[nodiscard]] std::string onlyLine(std::string_view event) const
     {
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(newOwnerDoesNotRepeatRunsOfARestartedExecutor);
     CPPUNIT_TEST(newOwnerWaitsForLeasesOfTheFormerClock);
     CPPUNIT_TEST(newOwnerCountsOnLeasesOfTheFormerClockAfterItsFirstReport);
+    CPPUNIT_TEST(newOwnerExpectsLeasesOfAFormerClockOnAYoungExecutor);
+    CPPUNIT_TEST(unansweredOrderMayHaveReachedAnUnheardIncarnation);
     CPPUNIT_TEST(orderThatMeetsARestartedExecutorGoesElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -382,11 +384,20 @@
     void orderForThePresentIncarnationHoldsItsOwnLease()
     {
         scheduler scheduling = makeScheduler();
-        const start_order order = placeOne(scheduling);
-        scheduling.applyStartOutcome(order, start_outcome::unknown, at(600));
+        scheduling.addJob(makeJob(jobA, 2), {}, 0, false, at(0));
+        advance(scheduling, at(0));
+        const executor_orders orders = scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        const auto &answered = std::get<start_order>(orders.front());
+        const auto &unanswered = std::get<start_order>(orders.back());
+        scheduling.applyStartOutcome(answered, start_outcome::started, at(10));
+        scheduling.applyStartOutcome(unanswered, start_outcome::unknown, at(600));
         scheduling.markUnresponsive("e");
         advance(scheduling, at(4000));
-        CPPUNIT_ASSERT(scheduling.executors().find("e", order.task) == nullptr);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", answered.task) == nullptr);
+        CPPUNIT_ASSERT(scheduling.executors().find("e", unanswered.task) != nullptr);
+        advance(scheduling, at(2000 + longestLeaseMs));
+        CPPUNIT_ASSERT(scheduling.executors().find("e", unanswered.task) == nullptr);
     }
 
     /** Orders wait for a connection: one that is sent after its run was given up would start a
@@ -435,6 +446,37 @@
         assertLongTasksRanOnce();
     }
 
+    /** The former owner could not record the restart. */
+    void newOwnerExpectsLeasesOfAFormerClockOnAYoungExecutor()
+    {
+        constexpr milliseconds youngAge{500};
+        constexpr milliseconds oldAge{120'000};
+        CPPUNIT_ASSERT(!startsInheritedJob(registration(2), youngAge));
+        CPPUNIT_ASSERT(startsInheritedJob(registration(2), oldAge));
+        executor_registration restarted = registration(2);
+        restarted.hasRestarted = true;
+        CPPUNIT_ASSERT(!startsInheritedJob(restarted, scheduler::unknownAge));
+        CPPUNIT_ASSERT(startsInheritedJob(restarted, oldAge));
+    }
+
+    /** An intermediary has kept the connection, so that an order reaches the new incarnation. Its
+        answer is lost as the executor is cut off, before it has registered or reported. */
+    void unansweredOrderMayHaveReachedAnUnheardIncarnation()
+    {
+        makeLongSimulation(false);
+        m_long->restartUnnoticed(m_used, milliseconds{30'000});
+        m_long->loseAnswers(1);
+        m_long->submit(makeJob(jobA, 1));
+        for (int step = 0; step < 100 && m_long->executor(m_used).running().empty(); ++step)
+            m_long->advance(milliseconds{1});
+        CPPUNIT_ASSERT(!m_long->executor(m_used).running().empty());
+        m_long->setDisconnected(m_used, true);
+        m_long->advance(milliseconds{12'000});
+        for (const std::string &each : m_long->violations())
+            CPPUNIT_FAIL(each);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_long->startsOf({jobA, 0, 0, 0}));
+    }
+
     void orderThatMeetsARestartedExecutorGoesElsewhere()
     {
         scheduler scheduling = makeScheduler();
@@ -526,9 +568,23 @@
             CPPUNIT_ASSERT_EQUAL(times, m_simulation.startsOf({job, 0, 0, index}));
     }
 
-    /** Restarts one of two executors unnoticed, lets tasks of 20 s be ordered on it, and passes the
-        time until it has registered and is recorded. */
-    void restartUnderLongTasks(bool peersIdentified)
+    /** Returns whether an owner that takes over starts a job of its predecessor within 10 s, which
+        exceeds the usual wait, although the executor is silent. */
+    [[nodiscard]] bool startsInheritedJob(const executor_registration &record, milliseconds age)
+    {
+        scheduling_options options;
+        options.maxLeaseTerm = milliseconds{10'000};
+        scheduler scheduling{options, 1000};
+        scheduling.apply(m_simulation.config);
+        scheduling.inheritExecutor(record, at(0), age);
+        scheduling.addJob(makeJob(jobA, 1), {}, 0, true, at(0));
+        addOther(scheduling);
+        advance(scheduling, at(10'000));
+        return !scheduling.takeOrders().empty();
+    }
+
+    /** Makes two executors, of which one has a run, so that it gets the next one. */
+    void makeLongSimulation(bool peersIdentified)
     {
         scheduling_options options;
         options.maxLeaseTerm = milliseconds{10'000};
@@ -546,6 +602,13 @@
         m_long->submit(makeJob(firstJob, 1));
         m_long->advance(milliseconds{500});
         m_used = m_long->executor("e1").running().empty() ? "e2" : "e1";
+    }
+
+    /** Restarts one of two executors unnoticed, lets tasks of 20 s be ordered on it, and passes the
+        time until it has registered and is recorded. */
+    void restartUnderLongTasks(bool peersIdentified)
+    {
+        makeLongSimulation(peersIdentified);
         m_long->restartUnnoticed(m_used);
         m_long->submit(makeJob(jobA, 4));
         m_long->advance(milliseconds{1500});
