--- a/test/azurelb/system/withdrawn_zone_test.cpp
+++ b/test/azurelb/system/withdrawn_zone_test.cpp
@@ -86,7 +86,13 @@
         };
         CPPUNIT_ASSERT(test::eventually(refused));
         load.stop();
-        CPPUNIT_ASSERT_EQUAL(before.size(), fleet.runs().size());
+        const auto after = fleet.runs();
+        std::string added = "runs since the pause:";
+        for (const auto &[id, count] : after) {
+            if (!before.contains(id))
+                added += ' ' + id;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(added, before.size(), after.size());
     }
 };
 
