Executors of unknown age are not taken for young where leases last over a minute

Found on reading the diff: the age was bounded by 60 s before it was compared with the longest lease, so with MaxHoldMs of 59 s or more each executor found at a takeover counted as young. newOwnerExpectsLeasesOfAFormerClockOnAYoungExecutor, extended by MaxHoldMs 90 s, failed before; test_scheduling 76 pass.

--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -49,16 +49,13 @@
         executor.latestLeaseEnd = now + m_options.maxTimeSinceRenewal - m_options.ownerLeaseTerm
             + std::chrono::duration_cast<milliseconds>(m_options.leaseTerm * slowClockFactor)
             + m_options.leaseMargin;
-        const bool restartCounts =
-            info.hasRestarted && (age < restartMemory || age == milliseconds::max());
-        const milliseconds sinceStart =
-            std::clamp(restartCounts ? milliseconds{0} : age, milliseconds{0}, restartMemory);
-        if (formerLeaseEnd(now - sinceStart) > now)
-            recordFormerLease(executor, now - sinceStart);
+        if (info.hasRestarted && (age < restartMemory || age == unknownAge))
+            recordFormerLease(executor, now);
+        else if (age != unknownAge && formerLeaseEnd(now - age) > now)
+            recordFormerLease(executor, std::min(now, now - age));
     }
-    if (!isNew && executor.info.pool != info.pool) {
+    if (!isNew && executor.info.pool != info.pool)
         removeFromPool(executor);
-    }
     if (isNew || executor.info.pool != info.pool)
         m_pools[info.pool].push_back(&executor);
     const executor_registration known = std::exchange(executor.info, info);
--- a/src/azurelb/scheduling/executor_table.hpp
+++ b/src/azurelb/scheduling/executor_table.hpp
@@ -22,6 +22,9 @@
 class executor_table
 {
 public:
+    /** Age of an executor that doesn't tell when it has started; taken for old. */
+    static constexpr std::chrono::milliseconds unknownAge{std::chrono::milliseconds::max()};
+
     explicit executor_table(const scheduling_options &options);
 
     /** Inserts or updates the executor. Call erase() or restart() before if an earlier incarnation
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -32,8 +32,7 @@
 class scheduler
 {
 public:
-    /** Age of an executor that doesn't tell when it has started; taken for old. */
-    static constexpr std::chrono::milliseconds unknownAge{std::chrono::milliseconds::max()};
+    static constexpr std::chrono::milliseconds unknownAge{executor_table::unknownAge};
 
     /** Run numbers start above runBase, which must exceed the runBase of every earlier owner. */
     scheduler(const scheduling_options &options, run_number runBase);
--- a/test/azurelb/scheduling/executor_restart_test.cpp
+++ b/test/azurelb/scheduling/executor_restart_test.cpp
@@ -457,6 +457,8 @@
         restarted.hasRestarted = true;
         CPPUNIT_ASSERT(!startsInheritedJob(restarted, scheduler::unknownAge));
         CPPUNIT_ASSERT(startsInheritedJob(restarted, oldAge));
+        CPPUNIT_ASSERT(
+            startsInheritedJob(registration(2), scheduler::unknownAge, milliseconds{90'000}));
     }
 
     /** An intermediary has kept the connection, so that an order reaches the new incarnation. Its
@@ -570,10 +572,11 @@
 
     /** Returns whether an owner that takes over starts a job of its predecessor within 10 s, which
         exceeds the usual wait, although the executor is silent. */
-    [[nodiscard]] bool startsInheritedJob(const executor_registration &record, milliseconds age)
+    [[nodiscard]] bool startsInheritedJob(const executor_registration &record, milliseconds age,
+                                          milliseconds maxLeaseTerm = milliseconds{10'000})
     {
         scheduling_options options;
-        options.maxLeaseTerm = milliseconds{10'000};
+        options.maxLeaseTerm = maxLeaseTerm;
         scheduler scheduling{options, 1000};
         scheduling.apply(m_simulation.config);
         scheduling.inheritExecutor(record, at(0), age);
