--- a/src/azurelb/control/owner_metrics.hpp
+++ b/src/azurelb/control/owner_metrics.hpp
@@ -37,7 +37,7 @@
     explicit owner_metrics(metrics &registry);
 
     void record(const scheduling_notices &notices);
-    /** Records that executors are told up to which number they may forget ends. */
+    /** Records up to which number ends are acknowledged to executors. */
     static void recordAcknowledgements(const std::vector<acknowledged_ends> &acknowledged);
     void recordElection();
     void recordStart(start_outcome outcome);
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -48,9 +48,9 @@
     /** The executor's present incarnation has listed the run. */
     bool reported{false};
     bool stopConfirmed{false};
-    /** The start order was not answered: an incarnation that was never heard of may hold the run
+    /** The start order was not answered: an incarnation that has not reported yet may hold the run
         until then, under the longest lease. */
-    boot_time unheardLeaseEnd{};
+    boot_time unreportedLeaseEnd{};
     stop_reason stopReason{stop_reason::not_wanted};
     boot_time stopSentAt{};
     int progressPercent{0};
--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -243,7 +243,7 @@
         return;
     }
     held->reported = true;
-    held->unheardLeaseEnd = {};
+    held->unreportedLeaseEnd = {};
     if (held->phase == assignment_phase::requested || held->phase == assignment_phase::unconfirmed)
     {
         held->phase = assignment_phase::running;
--- a/src/azurelb/scheduling/former_run.hpp
+++ b/src/azurelb/scheduling/former_run.hpp
@@ -9,7 +9,7 @@
 
 /** Why a run no longer stands in the way of another start of its task. */
 enum class release_reason {
-    /** There was no run that this owner knows of. */
+    /** This owner has no record of a former run. */
     none,
     /** The executor reported its end. */
     ended,
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -180,7 +180,7 @@
 {
     std::vector<task_id> given;
     for (const auto &[task, held] : executor.assignments) {
-        if (held.unheardLeaseEnd > leasesOverAt)
+        if (held.unreportedLeaseEnd > leasesOverAt)
             continue;
         executor.lapsedRuns.push_back({task, held.run});
         given.push_back(task);
@@ -263,7 +263,7 @@
                                                             : assignment_phase::unconfirmed;
             held->confirmedAt = now;
             if (outcome == start_outcome::unknown)
-                held->unheardLeaseEnd = m_executors.formerLeaseEnd(now);
+                held->unreportedLeaseEnd = m_executors.formerLeaseEnd(now);
         }
         return;
     }
