Executor records are written and removed only at the revision last seen

Callers saw the four tasks of a job run on two executors at once for 2.8 s after an ordinary stop of one daemon.

Cause: writes and removals of azurelb/executor/ID had no condition but the owner's key. A removal without an answer was executed 5 s later and deleted the newer record of the same executor; the next owner did not count on its runs. The owner never wrote the record again, as it had been told that it was stored.

Change: key_revisions keeps the revisions last seen, and each write of a record names the one that it replaces. Newer writes change the revision, so that an older write can't take effect after them.

--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -198,6 +198,7 @@
         m_vmManager.restore(wave);
         return;
     }
+    m_writer.noteRecord(item);
     const auto info = decodeRegistration(item.value);
     if (!info) {
         logEvent(event::stored_value_damaged, {{"key", key}});
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <iterator>
 #include <utility>
 
 namespace azurelb {
@@ -65,9 +64,8 @@
 
 void progress_writer::removeExecutor(const executor_id &id)
 {
-    // The executor may have registered again in the meantime.
-    if (!m_scheduler.executors().find(id))
-        remove({store_keys::executor(id)});
+    m_endedExecutors.insert(id);
+    scheduleFlush();
 }
 
 void progress_writer::flush()
@@ -88,17 +86,9 @@
     }
     collectJobs();
     collectExecutors();
-    for (std::string &key : std::exchange(m_removals, {})) {
-        if (!isRecordNeeded(key))
-            m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}});
-    }
-}
-
-/** An executor may have registered again since the removal of its record was decided. */
-bool progress_writer::isRecordNeeded(std::string_view key) const
-{
-    return key.starts_with(store_keys::executors)
-        && m_scheduler.executors().find(executor_id{key.substr(store_keys::executors.size())});
+    collectEndedExecutors();
+    for (std::string &key : std::exchange(m_removals, {}))
+        m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}});
 }
 
 void progress_writer::collectJobs()
@@ -120,11 +110,24 @@
     for (const auto &[id, executor] : m_scheduler.executors().all()) {
         // The next owner must learn of a restart even if the executor doesn't register any more.
         const bool isNeeded = executor.registered || executor.info.hasRestarted;
-        if (isNeeded && !executor.ownershipRecorded)
-            m_units.push_back(
-                {{{}, {{store_keys::executor(id), encodeRegistration(executor.info), 0}}, {}},
-                 {},
-                 id});
+        if (!isNeeded || executor.ownershipRecorded)
+            continue;
+        const std::string key = store_keys::executor(id);
+        m_units.push_back(
+            {{{{key, m_records.of(key)}}, {{key, encodeRegistration(executor.info), 0}}, {}},
+             {},
+             id});
+    }
+}
+
+void progress_writer::collectEndedExecutors()
+{
+    for (const executor_id &id : std::exchange(m_endedExecutors, {})) {
+        // It may have registered again since.
+        if (m_scheduler.executors().find(id))
+            continue;
+        const std::string key = store_keys::executor(id);
+        m_units.push_back({{{{key, m_records.of(key)}}, {}, {key}}, {}, id});
     }
 }
 
@@ -153,7 +156,7 @@
 void progress_writer::handleCommit(std::vector<write_unit> &&chunk, keyspace_commit &&outcome)
 {
     if (outcome.error == keyspace_error::none) {
-        noteStored(chunk, outcome.revision);
+        noteStored(chunk, outcome);
         writeNext();
         return;
     }
@@ -165,29 +168,33 @@
             m_onLost();
             return;
         }
-    } else {
-        logEvent(event::progress_not_stored,
-                 {{"error", toString(outcome.error)}, {"entries", chunk.size()}});
     }
-    m_units.insert(m_units.end(), std::make_move_iterator(chunk.begin()),
-                   std::make_move_iterator(chunk.end()));
-    requeue(m_units, outcome);
+    logEvent(event::progress_not_stored,
+             {{"error", toString(outcome.error)}, {"entries", chunk.size()}});
+    requeue(chunk, outcome);
+    requeue(m_units, {keyspace_error::unknown, 0, {}});
     retryLater();
 }
 
-void progress_writer::noteStored(const std::vector<write_unit> &chunk, store_revision revision)
+void progress_writer::noteStored(const std::vector<write_unit> &chunk,
+                                 const keyspace_commit &outcome)
 {
     for (const write_unit &each : chunk) {
         if (job_entry *const job = m_scheduler.jobs().find(each.job))
-            job->storedRevision = revision;
-        executor_entry *const executor = m_scheduler.executors().find(each.enrolled);
-        // The executor may have changed during the write.
-        if (executor && each.write.puts.front().value == encodeRegistration(executor->info))
-            executor->ownershipRecorded = true;
+            job->storedRevision = outcome.revision;
+        if (each.executor.empty())
+            continue;
+        m_records.apply(each.write, outcome);
+        executor_entry *const executor = m_scheduler.executors().find(each.executor);
+        // The executor may have changed during the write, or registered again during a removal.
+        if (executor)
+            executor->ownershipRecorded = !each.write.puts.empty()
+                && each.write.puts.front().value == encodeRegistration(executor->info);
     }
 }
 
-/** Marks the state of unwritten units as changed; the next flush collects its current values. */
+/** Marks the state of unwritten units as changed; the next flush collects its current values.
+    @param outcome  of the write that contained them */
 void progress_writer::requeue(const std::vector<write_unit> &chunk, const keyspace_commit &outcome)
 {
     for (const write_unit &each : chunk) {
@@ -201,6 +208,12 @@
                 job->storedRevision = found->revision;
             m_scheduler.jobs().markDirty(*job);
         }
+        if (!each.executor.empty()) {
+            m_records.apply(each.write, outcome);
+            if (!each.write.removals.empty())
+                m_endedExecutors.insert(each.executor);
+            continue;
+        }
         m_removals.insert(m_removals.end(), each.write.removals.begin(), each.write.removals.end());
     }
 }
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -2,6 +2,7 @@
 
 #include <azurelb/control/fwd.hpp>
 #include <azurelb/jobs/fwd.hpp>
+#include <azurelb/keyspace/key_revisions.hpp>
 #include <azurelb/keyspace/keyspace_replies.hpp>
 #include <azurelb/keyspace/keyspace_write.hpp>
 #include <azurelb/scheduling/fwd.hpp>
@@ -12,9 +13,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
-#include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace azurelb {
@@ -22,8 +22,9 @@
 /**
  * Stores the scheduler's durable state: the progress of a job before the ended runs that led to it
  * are acknowledged, and an executor before runs start on it. Every write is conditional on the
- * owner's key being at its token and on each progress being at its last known revision, so that
- * neither an earlier owner nor a write that takes effect late can overwrite newer progress.
+ * owner's key being at its token and on each progress and each executor's record being at its last
+ * known revision, so that neither an earlier owner nor a write that takes effect late can replace
+ * or remove anything newer.
  */
 class progress_writer
 {
@@ -37,7 +38,10 @@
     /** Schedules a write of all changed state after the grouping time. */
     void scheduleFlush();
 
-    /** Removes the stored registration of an executor that has no more runs of this owner. */
+    /** Notes the revision of an executor's record that was read from the store. */
+    void noteRecord(const keyspace_item &item) { m_records.record(item); }
+
+    /** Removes the record of an executor that has no more runs of this owner. */
     void removeExecutor(const executor_id &id);
 
     /** Removes the keys of jobs that are no longer retained. */
@@ -51,18 +55,20 @@
     struct write_unit
     {
         keyspace_write write{};
+        /** Job whose progress is written; otherwise empty. */
         job_id job{};
-        executor_id enrolled{};
+        /** Executor whose record is written or removed; otherwise empty. */
+        executor_id executor{};
     };
 
     void flush();
     void collect();
     void collectJobs();
     void collectExecutors();
-    [[nodiscard]] bool isRecordNeeded(std::string_view key) const;
+    void collectEndedExecutors();
     void writeNext();
     void handleCommit(std::vector<write_unit> &&chunk, keyspace_commit &&outcome);
-    void noteStored(const std::vector<write_unit> &chunk, store_revision revision);
+    void noteStored(const std::vector<write_unit> &chunk, const keyspace_commit &outcome);
     void requeue(const std::vector<write_unit> &chunk, const keyspace_commit &outcome);
     void retryLater();
     void finishFlush();
@@ -76,6 +82,10 @@
     boost::asio::steady_timer m_timer;
     std::vector<write_unit> m_units{};
     std::vector<std::string> m_removals{};
+    /** Executors whose records are no longer needed. */
+    std::set<executor_id> m_endedExecutors{};
+    /** Revisions of the executors' records. */
+    key_revisions m_records{};
     /** Highest sequence number of ended runs that m_units covers, for one incarnation. */
     struct processed_ends
     {
--- a/src/azurelb/keyspace/fwd.hpp
+++ b/src/azurelb/keyspace/fwd.hpp
@@ -11,6 +11,7 @@
 struct keyspace_commit;
 struct keyspace_lease;
 struct keyspace_write;
+class key_revisions;
 class keyspace;
 class prefix_reader;
 class prefix_watcher;
--- a/test/azurelb/control/control_test.cpp
+++ b/test/azurelb/control/control_test.cpp
@@ -127,6 +127,10 @@
     CPPUNIT_TEST(storesExecutorsBeforeTheyAreUsed);
     CPPUNIT_TEST(recordsARestartBeforeTheExecutorRegisters);
     CPPUNIT_TEST(keepsTheRecordOfAnExecutorThatRegistersAgain);
+    CPPUNIT_TEST(lateRemovalKeepsANewerRecordOfAnExecutor);
+    CPPUNIT_TEST(lateRecordOfAnExecutorReplacesNoNewerOne);
+    CPPUNIT_TEST(removesARecordOfAnEarlierOwner);
+    CPPUNIT_TEST(conflictOfOneWriteKeepsTheRevisionsOfTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +233,83 @@
         CPPUNIT_ASSERT(m_store.find(store_keys::executor("e1")));
     }
 
+    /** Guards against tasks that run twice after a takeover (review case 8): a removal without an
+        answer is executed after the executor has registered and been recorded again, and the next
+        owner does not ask it for its runs. */
+    void lateRemovalKeepsANewerRecordOfAnExecutor()
+    {
+        flush();
+        executor_registration info = executor().info;
+        m_scheduler.endExecutor("e1", boot_clock::now());
+        m_store.lateCommits = 1;
+        m_writer->removeExecutor("e1");
+        run(milliseconds{250});
+        CPPUNIT_ASSERT(!m_store.find(store_keys::executor("e1")));
+        m_scheduler.registerExecutor(info, boot_clock::now());
+        flush();
+        CPPUNIT_ASSERT(executor().ownershipRecorded);
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT(m_store.find(store_keys::executor("e1")));
+    }
+
+    /** The next owner would ask the former address, or take the present incarnation for ended. */
+    void lateRecordOfAnExecutorReplacesNoNewerOne()
+    {
+        m_store.lateCommits = 1;
+        flush();
+        executor_registration info = executor().info;
+        info.address = "127.0.0.1:2";
+        info.vm = "moved";
+        m_scheduler.registerExecutor(info, boot_clock::now());
+        run(milliseconds{250});
+        CPPUNIT_ASSERT(executor().ownershipRecorded);
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT_EQUAL(std::string{"127.0.0.1:2"}, recordedExecutor().address);
+    }
+
+    /** Otherwise each later owner waits for runs of an executor that has ended. */
+    void removesARecordOfAnEarlierOwner()
+    {
+        executor_registration info = executor().info;
+        info.id = "e2";
+        const std::string key = store_keys::executor(info.id);
+        m_store.put(key, encodeRegistration(info));
+        m_writer->noteRecord(*m_store.find(key));
+        m_writer->removeExecutor(info.id);
+        run(milliseconds{30});
+        CPPUNIT_ASSERT(!m_store.find(key));
+        // A record whose revision is not known is removed after a conflict.
+        m_store.put(key, encodeRegistration(info));
+        m_writer->removeExecutor(info.id);
+        run(milliseconds{250});
+        CPPUNIT_ASSERT(!m_store.find(key));
+    }
+
+    /** A conflict tells nothing about keys that were not in the conditions of the write; taken for
+        missing ones they would conflict in turn, so that nothing is ever stored. */
+    void conflictOfOneWriteKeepsTheRevisionsOfTheOthers()
+    {
+        constexpr int count{40};
+        executor_registration info = executor().info;
+        for (int index = 0; index < count; ++index) {
+            info.id = "m" + std::to_string(index);
+            m_scheduler.registerExecutor(info, boot_clock::now());
+        }
+        flush();
+        run(milliseconds{100});
+        for (int index = 0; index < count; ++index) {
+            const std::string key = store_keys::executor("m" + std::to_string(index));
+            m_store.put(key, m_store.find(key)->value);
+            m_scheduler.executors().find("m" + std::to_string(index))->ownershipRecorded = false;
+        }
+        // Three writes conflict once each, 100 ms apart.
+        flush();
+        run(milliseconds{700});
+        for (int index = 0; index < count; ++index)
+            CPPUNIT_ASSERT(
+                m_scheduler.executors().find("m" + std::to_string(index))->ownershipRecorded);
+    }
+
 private:
     void addJob(const std::string &id)
     {
