Counts of waiting jobs are written only at the revision last seen

Callers were told that 1 job waits while 21 did, until the number changed.

Cause: the write of azurelb/waiting had no condition but the owner's key. One without an answer was executed 5 s later and replaced the newer count; the owner did not repeat it, since it compares with what it last stored. Second form, found on the way: counts that return to the stored ones while a write has no answer were not written at all.

Ruled out: a wrong count of the scheduler (the newer write held 21) and an outdated read (each call reads the key).

Change: the write names the revision that it replaces, and nothing counts as published between a write and its answer. key_revisions ignores answers that newer ones have overtaken.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -667,22 +667,41 @@
     std::string waiting = encodeWaitingCounts();
     const load_forecast forecast = makeForecast(loads, m_publishedAt);
     keyspace_write write{{{std::string{store_keys::owner}, m_token}}, {}, {}};
-    if (waiting != m_publishedWaiting)
-        write.puts.push_back({std::string{store_keys::waiting}, waiting, 0});
+    if (waiting != m_publishedWaiting) {
+        std::string key{store_keys::waiting};
+        write.conditions.push_back({key, m_revisions.of(key)});
+        write.puts.push_back({std::move(key), std::move(waiting), 0});
+        // Until it is answered, this write may replace the published counts at any time.
+        m_publishedWaiting.reset();
+    }
     if (!forecast.empty() || m_forecastStored)
         write.puts.push_back({std::string{store_keys::forecast}, encode(forecast), 0});
     if (write.puts.empty())
         return;
     m_services.store.commit(write,
-                            [this, waiting = std::move(waiting), listed = !forecast.empty(),
+                            [this, write, listed = !forecast.empty(),
                              alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
-                                if (alive.expired() || outcome.error != keyspace_error::none)
+                                if (alive.expired())
                                     return;
-                                m_publishedWaiting = waiting;
-                                m_forecastStored = listed;
+                                handlePublished(write, outcome);
+                                if (outcome.error == keyspace_error::none)
+                                    m_forecastStored = listed;
                             });
 }
 
+void owner::handlePublished(const keyspace_write &write, const keyspace_commit &outcome)
+{
+    m_revisions.apply(write, outcome);
+    if (outcome.error != keyspace_error::none)
+        return;
+    for (const keyspace_put &each : write.puts) {
+        // The answer to a newer write may have arrived before.
+        const bool isNewest = m_revisions.of(each.key) == outcome.revision;
+        if (each.key == store_keys::waiting && isNewest)
+            m_publishedWaiting = each.value;
+    }
+}
+
 void owner::removeExpiredJobs()
 {
     const boot_time now = boot_clock::now();
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -12,6 +12,7 @@
 #include <azurelb/control/owner_metrics.hpp>
 #include <azurelb/control/progress_writer.hpp>
 #include <azurelb/control/vm_manager.hpp>
+#include <azurelb/keyspace/key_revisions.hpp>
 #include <azurelb/keyspace/prefix_reader.hpp>
 #include <azurelb/keyspace/prefix_watcher.hpp>
 #include <azurelb/scheduling/scheduler.hpp>
@@ -149,6 +150,7 @@
     void tick();
     /** Publishes the counts of waiting jobs and the forecast of the load. */
     void publishLoad();
+    void handlePublished(const keyspace_write &write, const keyspace_commit &outcome);
     [[nodiscard]] std::string encodeWaitingCounts() const;
     [[nodiscard]] load_forecast
     makeForecast(const std::unordered_map<std::string, pool_load> &loads, boot_time now);
@@ -204,7 +206,10 @@
     desired_state m_desired{};
     /** Revisions of the stored progress of waves. */
     std::unordered_map<std::int64_t, store_revision> m_waveRevisions{};
-    std::string m_publishedWaiting{};
+    /** Revisions of the keys that only the owner writes, apart from progress and records. */
+    key_revisions m_revisions{};
+    /** Counts that the store holds; none while a write of them has no answer. */
+    std::optional<std::string> m_publishedWaiting{};
     overload_control m_overload{overload_control::options{}, boot_clock::now()};
     std::int64_t m_forecastNumber{0};
     /** Whether the stored forecast lists pools. */
--- a/src/azurelb/keyspace/key_revisions.cpp
+++ b/src/azurelb/keyspace/key_revisions.cpp
@@ -39,10 +39,13 @@
 
 void key_revisions::set(const std::string &key, store_revision revision)
 {
-    if (revision == 0)
+    if (revision == 0) {
         m_revisions.erase(key);
-    else
-        m_revisions[key] = revision;
+        return;
+    }
+    // Answers may overtake each other.
+    store_revision &known = m_revisions[key];
+    known = std::max(known, revision);
 }
 
 } // namespace azurelb
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -32,6 +32,8 @@
 constexpr char secondJob[]{"bbbbbbbbbbbbbbbb"};
 constexpr char executorName[]{"e1"};
 constexpr char waveStateKey[]{"state/wave"};
+/** The owner publishes its load twice a second. */
+constexpr milliseconds publishTime{650};
 
 /** Executors without runs. Start orders wait for a connection until they are sent. */
 class fake_gateway final : public executor_gateway
@@ -230,6 +232,8 @@
     CPPUNIT_TEST(withheldAcknowledgementIsLogged);
     CPPUNIT_TEST(silentExecutorIsLoggedWithWhatItMayHaveGot);
     CPPUNIT_TEST(withheldAcknowledgementIsRepeated);
+    CPPUNIT_TEST(lateCountsOfWaitingJobsReplaceNoNewerOnes);
+    CPPUNIT_TEST(unansweredCountsOfWaitingJobsArePublishedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -986,6 +990,37 @@
         CPPUNIT_ASSERT(std::count_if(requests.begin(), requests.end(), acknowledges) > 1);
     }
 
+    /** Guards against a count that is far too low until it changes (review case 9): a write of the
+        counts without an answer is executed after a newer one. */
+    void lateCountsOfWaitingJobsReplaceNoNewerOnes()
+    {
+        startOwnerOfQueue();
+        m_store.lateCommits = 1;
+        putJob(secondJob);
+        run(publishTime);
+        putJob("cccccccccccccccc");
+        run(publishTime);
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"queue":3})"}, waitingCounts());
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"queue":3})"}, waitingCounts());
+    }
+
+    /** The counts are again what was published before a write without an answer. If they were not
+        written again, that write would replace them when it is executed late. */
+    void unansweredCountsOfWaitingJobsArePublishedAgain()
+    {
+        startOwnerOfQueue();
+        m_store.lateCommits = 1;
+        putJob(secondJob);
+        run(publishTime);
+        CPPUNIT_ASSERT_EQUAL(0U, m_store.lateCommits);
+        m_store.put(store_keys::jobCancel(secondJob), "{}");
+        run(publishTime);
+        m_store.executeLateCommits();
+        run(publishTime);
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"queue":1})"}, waitingCounts());
+    }
+
 private:
     [[nodiscard]] std::string onlyLine(std::string_view event) const
     {
@@ -1091,6 +1126,31 @@
         m_vms.vms = {{"vm9", "other", vm_state::up, "zone", {64'000, 131'072, 0}, "next"}};
     }
 
+    /** Starts the owner of a queue in whose pool there is no executor; one job waits. */
+    void startOwnerOfQueue()
+    {
+        desired_state desired;
+        queue_entry queue;
+        queue.name = "queue";
+        queue.pool = "pool";
+        desired.config.queues.push_back(queue);
+        m_owner->apply(desired);
+        putJob(firstJob);
+        startOwner();
+        run(publishTime);
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"queue":1})"}, waitingCounts());
+    }
+
+    void putJob(const std::string &id)
+    {
+        m_store.put(store_keys::jobRecord(id), encode(makeJob(id)));
+    }
+
+    [[nodiscard]] std::string waitingCounts() const
+    {
+        return m_store.find(std::string{store_keys::waiting})->value;
+    }
+
     [[nodiscard]] std::string lastOwner() const
     {
         return m_store.find(std::string{store_keys::lastOwner})->value;
--- a/test/azurelb/keyspace/key_revisions_test.cpp
+++ b/test/azurelb/keyspace/key_revisions_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(followsWrites);
     CPPUNIT_TEST(conflictCorrectsOutdatedRevisions);
     CPPUNIT_TEST(callWithoutAnswerChangesNothing);
+    CPPUNIT_TEST(answerThatWasOvertakenChangesNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +56,14 @@
         CPPUNIT_ASSERT_EQUAL(store_revision{3}, m_revisions.of("a"));
     }
 
+    void answerThatWasOvertakenChangesNothing()
+    {
+        const keyspace_write write{{{"a", 0}}, {{"a", "x", 0}}, {}};
+        m_revisions.apply(write, {keyspace_error::none, 7, {}});
+        m_revisions.apply(write, {keyspace_error::conflict, 0, {{"a", "y", 5, false}}});
+        CPPUNIT_ASSERT_EQUAL(store_revision{7}, m_revisions.of("a"));
+    }
+
 private:
     key_revisions m_revisions{};
 };
