Forecasts of the load are written only at the revision last seen

A late write replaced the newer forecast, so all daemons admitted and rejected jobs for up to 2 s by a load of some seconds before; an empty forecast that had not been answered was not written again.

Change: as for the counts of waiting jobs. A new owner reads the revisions of both keys while it loads the jobs, so that its first write does not fail on those of its predecessor; nothing waits for these reads.

Tests: owner_test lateForecastReplacesNoNewerOne failed on (number 10 instead of 11) and passes now. firstCountsAfterATakeoverReplaceThoseOfThePredecessor passes on both sides; it guards against the delay that the condition would cost.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -674,31 +674,36 @@
         // Until it is answered, this write may replace the published counts at any time.
         m_publishedWaiting.reset();
     }
-    if (!forecast.empty() || m_forecastStored)
-        write.puts.push_back({std::string{store_keys::forecast}, encode(forecast), 0});
+    if (!forecast.empty() || m_forecastStored) {
+        std::string key{store_keys::forecast};
+        write.conditions.push_back({key, m_revisions.of(key)});
+        write.puts.push_back({std::move(key), encode(forecast), 0});
+        m_forecastStored = true;
+    }
     if (write.puts.empty())
         return;
     m_services.store.commit(write,
-                            [this, write, listed = !forecast.empty(),
+                            [this, write, listsPools = !forecast.empty(),
                              alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
-                                if (alive.expired())
-                                    return;
-                                handlePublished(write, outcome);
-                                if (outcome.error == keyspace_error::none)
-                                    m_forecastStored = listed;
+                                if (!alive.expired())
+                                    handlePublished(write, listsPools, outcome);
                             });
 }
 
-void owner::handlePublished(const keyspace_write &write, const keyspace_commit &outcome)
+void owner::handlePublished(const keyspace_write &write, bool listsPools,
+                            const keyspace_commit &outcome)
 {
     m_revisions.apply(write, outcome);
     if (outcome.error != keyspace_error::none)
         return;
     for (const keyspace_put &each : write.puts) {
         // The answer to a newer write may have arrived before.
-        const bool isNewest = m_revisions.of(each.key) == outcome.revision;
-        if (each.key == store_keys::waiting && isNewest)
+        if (m_revisions.of(each.key) != outcome.revision)
+            continue;
+        if (each.key == store_keys::waiting)
             m_publishedWaiting = each.value;
+        else
+            m_forecastStored = listsPools;
     }
 }
 
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -26,6 +26,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -115,6 +116,7 @@
     void yieldToLargerVm();
     void recordActiveOwner();
     void loadStoredState();
+    void readRevision(std::string_view key);
     /** Call after each of the reads of loadStoredState(). */
     void finishRead();
     void restoreItem(const keyspace_item &item);
@@ -150,7 +152,8 @@
     void tick();
     /** Publishes the counts of waiting jobs and the forecast of the load. */
     void publishLoad();
-    void handlePublished(const keyspace_write &write, const keyspace_commit &outcome);
+    void handlePublished(const keyspace_write &write, bool listsPools,
+                         const keyspace_commit &outcome);
     [[nodiscard]] std::string encodeWaitingCounts() const;
     [[nodiscard]] load_forecast
     makeForecast(const std::unordered_map<std::string, pool_load> &loads, boot_time now);
@@ -212,7 +215,7 @@
     std::optional<std::string> m_publishedWaiting{};
     overload_control m_overload{overload_control::options{}, boot_clock::now()};
     std::int64_t m_forecastNumber{0};
-    /** Whether the stored forecast lists pools. */
+    /** Whether the stored forecast lists pools, or may do so after a write without an answer. */
     bool m_forecastStored{true};
     boot_time m_publishedAt{};
     boot_time m_expiredRemovedAt{};
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -162,12 +162,26 @@
     read(store_keys::executors, [this] { finishRead(); });
     read(store_keys::waves, [this] { finishRead(); });
     m_pendingReads = m_readers.size() + 2;
+    readRevision(store_keys::waiting);
+    readRevision(store_keys::forecast);
     watchJobs();
     watchExecutors();
     for (const auto &each : m_readers)
         each->start();
 }
 
+/** Without it, the first write of the key fails once; nothing waits for the answer. */
+void owner::readRevision(std::string_view key)
+{
+    m_services.store.get(std::string{key},
+                         [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_range &&read) {
+                             if (alive.expired())
+                                 return;
+                             for (const keyspace_item &each : read.items)
+                                 m_revisions.record(each);
+                         });
+}
+
 void owner::finishRead()
 {
     if (--m_pendingReads != 0)
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -234,6 +234,8 @@
     CPPUNIT_TEST(withheldAcknowledgementIsRepeated);
     CPPUNIT_TEST(lateCountsOfWaitingJobsReplaceNoNewerOnes);
     CPPUNIT_TEST(unansweredCountsOfWaitingJobsArePublishedAgain);
+    CPPUNIT_TEST(lateForecastReplacesNoNewerOne);
+    CPPUNIT_TEST(firstCountsAfterATakeoverReplaceThoseOfThePredecessor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -1021,6 +1023,37 @@
         CPPUNIT_ASSERT_EQUAL(std::string{R"({"queue":1})"}, waitingCounts());
     }
 
+    /** Daemons would admit and reject jobs by a load of some seconds before. */
+    void lateForecastReplacesNoNewerOne()
+    {
+        job_record job = makeJob(firstJob);
+        job.steps.front().taskCount = 64;
+        job.steps.front().estimate = milliseconds{10'000};
+        m_store.put(store_keys::jobRecord(firstJob), encode(job));
+        desired_state desired;
+        desired.config.pools.push_back({"pool", false, false});
+        m_vms.vms = {{"vm0", "pool", vm_state::up, "zone", {8000, 8000, 0}, executorName}};
+        m_owner->apply(desired);
+        startOwner();
+        registerExecutor(executorName, "vm0");
+        run(milliseconds{4000});
+        m_store.lateCommits = 1;
+        run(2 * publishTime);
+        CPPUNIT_ASSERT_EQUAL(0U, m_store.lateCommits);
+        const std::int64_t published = forecast().number;
+        CPPUNIT_ASSERT(!forecast().empty());
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT_EQUAL(published, forecast().number);
+    }
+
+    /** Callers wait two seconds at most for the present counts, of which the takeover takes most.
+     */
+    void firstCountsAfterATakeoverReplaceThoseOfThePredecessor()
+    {
+        m_store.put(std::string{store_keys::waiting}, R"({"queue":9})");
+        startOwnerOfQueue(milliseconds{0});
+    }
+
 private:
     [[nodiscard]] std::string onlyLine(std::string_view event) const
     {
@@ -1127,7 +1160,7 @@
     }
 
     /** Starts the owner of a queue in whose pool there is no executor; one job waits. */
-    void startOwnerOfQueue()
+    void startOwnerOfQueue(milliseconds afterStart = publishTime)
     {
         desired_state desired;
         queue_entry queue;
@@ -1137,7 +1170,7 @@
         m_owner->apply(desired);
         putJob(firstJob);
         startOwner();
-        run(publishTime);
+        run(afterStart);
         CPPUNIT_ASSERT_EQUAL(std::string{R"({"queue":1})"}, waitingCounts());
     }
 
@@ -1146,6 +1179,12 @@
         m_store.put(store_keys::jobRecord(id), encode(makeJob(id)));
     }
 
+    [[nodiscard]] load_forecast forecast() const
+    {
+        const keyspace_item *const item = m_store.find(std::string{store_keys::forecast});
+        return item ? decodeForecast(item->value).value_or(load_forecast{}) : load_forecast{};
+    }
+
     [[nodiscard]] std::string waitingCounts() const
     {
         return m_store.find(std::string{store_keys::waiting})->value;
