The state of the last owner is written only at the revision last seen

After a yield without an answer the daemon goes on as owner; the late write then left "yielded-closed" while it gave orders. If it was killed, the next owner took the handover for an orderly one and counted on leases of one term, which is too short for those of a former clock: tasks could run twice. Not seen with real processes.

Change: the key is read at the start anyway; each write of it names the revision. A conflict is a loss of ownership only if the owner's key has changed.

--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -115,6 +115,8 @@
     void considerCandidates();
     void yieldToLargerVm();
     void recordActiveOwner();
+    /** Returns the write of the last-owner key. */
+    [[nodiscard]] keyspace_write makeStateWrite(std::string_view state) const;
     void loadStoredState();
     void readRevision(std::string_view key);
     /** Call after each of the reads of loadStoredState(). */
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -64,6 +64,8 @@
                          [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_range &&read) {
                              if (alive.expired())
                                  return;
+                             for (const keyspace_item &each : read.items)
+                                 m_revisions.record(each);
                              const std::string last = read.error == keyspace_error::none
                                  ? read.items.front().value
                                  : std::string{};
@@ -100,13 +102,12 @@
 {
     const std::string state =
         std::string{ownerYielded} + std::string{m_orderlyHandover ? ownerStopped : ownerActive};
-    const keyspace_write write{{{std::string{store_keys::owner}, m_token}},
-                               {{std::string{store_keys::lastOwner}, state, 0}},
-                               {}};
+    const keyspace_write write = makeStateWrite(state);
     m_services.store.commit(
-        write, [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
+        write, [this, write, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
             if (alive.expired())
                 return;
+            m_revisions.apply(write, outcome);
             if (outcome.error == keyspace_error::none)
                 m_services.yieldKey("a larger VM is available");
             else
@@ -114,17 +115,26 @@
         });
 }
 
+keyspace_write owner::makeStateWrite(std::string_view state) const
+{
+    const std::string key{store_keys::lastOwner};
+    return {{{std::string{store_keys::owner}, m_token}, {key, m_revisions.of(key)}},
+            {{key, std::string{state}, 0}},
+            {}};
+}
+
 void owner::recordActiveOwner()
 {
     // Once this is stored, the next owner must assume that this one has given orders.
-    const keyspace_write write{{{std::string{store_keys::owner}, m_token}},
-                               {{std::string{store_keys::lastOwner}, std::string{ownerActive}, 0}},
-                               {}};
+    const keyspace_write write = makeStateWrite(ownerActive);
     m_services.store.commit(
-        write, [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
+        write, [this, write, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
             if (alive.expired())
                 return;
-            if (outcome.error == keyspace_error::conflict) {
+            m_revisions.apply(write, outcome);
+            const bool isLost = outcome.error == keyspace_error::conflict
+                && m_revisions.of(std::string{store_keys::owner}) != m_token;
+            if (isLost) {
                 m_onLost("the key belongs to another owner");
                 return;
             }
@@ -139,10 +149,8 @@
 void owner::handOver(std::function<void()> done)
 {
     m_handedOver = true;
-    const keyspace_write write{{{std::string{store_keys::owner}, m_token}},
-                               {{std::string{store_keys::lastOwner}, std::string{ownerStopped}, 0}},
-                               {}};
-    m_services.store.commit(write, [done = std::move(done)](keyspace_commit &&) { done(); });
+    m_services.store.commit(makeStateWrite(ownerStopped),
+                            [done = std::move(done)](keyspace_commit &&) { done(); });
 }
 
 /** Reads everything at once, which shortens the time without an owner. No other owner changes any
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -222,6 +222,9 @@
     CPPUNIT_TEST(yieldsToAMuchLargerVm);
     CPPUNIT_TEST(yieldKeepsWhatThePredecessorRecorded);
     CPPUNIT_TEST(onlyOneOwnerInARowYields);
+    CPPUNIT_TEST(lateYieldLeavesAnActiveOwnerOnRecord);
+    CPPUNIT_TEST(lateRecordOfAnActiveOwnerLeavesItsEndOnRecord);
+    CPPUNIT_TEST(ownerBecomesActiveBehindItsOwnLateYield);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
     CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
     CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
@@ -262,7 +265,7 @@
                     return keyspace_put{waveStateKey, wave.completed ? "done" : "open", 0};
                 },
                 m_ownerMetrics},
-            options, token, [](std::string_view) {});
+            options, token, [this](std::string_view) { ++m_losses; });
     }
 
     void startOwner()
@@ -809,6 +812,48 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
     }
 
+    /** Guards against tasks that run twice: the write of a yield without an answer is executed
+        while this owner gives orders. If the owner is killed then, the next one takes the handover
+        for an orderly one and counts on shorter leases than those that were granted. */
+    void lateYieldLeavesAnActiveOwnerOnRecord()
+    {
+        m_store.put(std::string{store_keys::lastOwner}, "closed");
+        m_store.put(store_keys::candidate("larger"), "4");
+        m_store.lateCommits = 1;
+        startOwner();
+        CPPUNIT_ASSERT_EQUAL(0, m_yields);
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
+    }
+
+    /** The next owner would wait for longer leases than there are. */
+    void lateRecordOfAnActiveOwnerLeavesItsEndOnRecord()
+    {
+        m_store.lateCommits = 1;
+        startOwner();
+        run(milliseconds{200});
+        m_owner->handOver([] {});
+        run(milliseconds{50});
+        CPPUNIT_ASSERT_EQUAL(std::string{"closed"}, lastOwner());
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT_EQUAL(std::string{"closed"}, lastOwner());
+    }
+
+    /** The conflict with a write of its own is no sign that the key was lost. */
+    void ownerBecomesActiveBehindItsOwnLateYield()
+    {
+        m_store.put(std::string{store_keys::lastOwner}, "closed");
+        m_store.put(store_keys::candidate("larger"), "4");
+        m_store.lostCommitReplies = 1;
+        startOwner();
+        run(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(0, m_losses);
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
+        registerExecutorIfStarted();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
+    }
+
     void damagedEntryOfACandidateIsIgnored()
     {
         int number = 0;
@@ -1248,6 +1293,7 @@
     metrics m_metrics{};
     owner_metrics m_ownerMetrics{m_metrics};
     int m_yields{0};
+    int m_losses{0};
     boot_time m_waveDeadline{};
     std::unique_ptr<owner> m_owner{};
 };
