A daemon that is stopped during its takeover does not record an orderly handover

Found while the writes of azurelb/last-owner were gone through. A new owner that was stopped before it had recorded itself as active wrote "closed". That is true of itself only: its predecessor may have been lost, with leases in force. The next owner then counted on leases of one term, and tasks of an executor that it could not reach could run twice. Not seen with real processes.

Change: an owner that has not recorded itself as active leaves the key as it is.

Test: owner_test handoverBeforeTheFirstOrderKeepsWhatThePredecessorRecorded failed before (closed instead of open) and passes now.

--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -91,7 +91,8 @@
     /** Replaces the operators' desired state. */
     void apply(const desired_state &desired);
 
-    /** Stops all orders and records this in the store for the next owner. */
+    /** Stops all orders and records this in the store for the next owner, if there have been any.
+     */
     void handOver(std::function<void()> done);
 
 private:
@@ -221,6 +222,8 @@
     bool m_forecastStored{true};
     boot_time m_publishedAt{};
     boot_time m_expiredRemovedAt{};
+    /** The store records that this owner may give orders. */
+    bool m_active{false};
     bool m_jobsLoaded{false};
     bool m_scheduling{false};
     bool m_advanceScheduled{false};
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -9,6 +9,8 @@
 #include <azurelb/keyspace/prefix_reader.hpp>
 #include <azurelb/log/log.hpp>
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -142,6 +144,7 @@
                 callAfter(m_tickTimer, writeRetryDelay, m_alive, [this] { recordActiveOwner(); });
                 return;
             }
+            m_active = true;
             loadStoredState();
         });
 }
@@ -149,6 +152,11 @@
 void owner::handOver(std::function<void()> done)
 {
     m_handedOver = true;
+    // An owner that has given no orders leaves what is recorded of those before.
+    if (!m_active) {
+        boost::asio::post(m_services.loop, std::move(done));
+        return;
+    }
     m_services.store.commit(makeStateWrite(ownerStopped),
                             [done = std::move(done)](keyspace_commit &&) { done(); });
 }
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -225,6 +225,7 @@
     CPPUNIT_TEST(lateYieldLeavesAnActiveOwnerOnRecord);
     CPPUNIT_TEST(lateRecordOfAnActiveOwnerLeavesItsEndOnRecord);
     CPPUNIT_TEST(ownerBecomesActiveBehindItsOwnLateYield);
+    CPPUNIT_TEST(handoverBeforeTheFirstOrderKeepsWhatThePredecessorRecorded);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
     CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
     CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
@@ -854,6 +855,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway.queue.size());
     }
 
+    /** Guards against tasks that run twice: the predecessor was lost and its leases last, but the
+        daemon that follows it is stopped while it takes over. */
+    void handoverBeforeTheFirstOrderKeepsWhatThePredecessorRecorded()
+    {
+        m_store.put(std::string{store_keys::lastOwner}, "open");
+        m_owner->start();
+        m_owner->handOver([this] { m_owner.reset(); });
+        run(milliseconds{50});
+        CPPUNIT_ASSERT(!m_owner);
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
+    }
+
     void damagedEntryOfACandidateIsIgnored()
     {
         int number = 0;
