A handover is recorded as orderly only without leases of a lost predecessor

An owner that had taken over from a lost one and was stopped within its first seconds recorded "closed", although executors that it could not reach might still get leases from the lost owner, which grants them up to 6 s after its last renewal. The next owner counted on one term from its own takeover. Not seen with real processes; read, then shown by the unit test.

Change: "closed" is written only if each inherited executor has reported or its longest lease is over. Otherwise the key says "open", and the next owner waits for the longest lease of the executors that it can't reach. Owners that are not yet scheduling are covered by the same rule.

Test: owner_test handoverBesideAnUnreachableExecutorIsNotOrderly failed before (closed instead of open) and passes now.

--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -91,8 +91,8 @@
     /** Replaces the operators' desired state. */
     void apply(const desired_state &desired);
 
-    /** Stops all orders and records this in the store for the next owner, if there have been any.
-     */
+    /** Stops all orders and records this in the store for the next owner, unless leases of a lost
+        predecessor may still be in force. */
     void handOver(std::function<void()> done);
 
 private:
@@ -118,6 +118,8 @@
     void recordActiveOwner();
     /** Returns the write of the last-owner key. */
     [[nodiscard]] keyspace_write makeStateWrite(std::string_view state) const;
+    /** Whether executors may hold leases of earlier owners and have not reported to this one. */
+    [[nodiscard]] bool mayHavePredecessorsLeases() const;
     void loadStoredState();
     void readRevision(std::string_view key);
     /** Call after each of the reads of loadStoredState(). */
@@ -222,8 +224,6 @@
     bool m_forecastStored{true};
     boot_time m_publishedAt{};
     boot_time m_expiredRemovedAt{};
-    /** The store records that this owner may give orders. */
-    bool m_active{false};
     bool m_jobsLoaded{false};
     bool m_scheduling{false};
     bool m_advanceScheduled{false};
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -144,16 +144,23 @@
                 callAfter(m_tickTimer, writeRetryDelay, m_alive, [this] { recordActiveOwner(); });
                 return;
             }
-            m_active = true;
             loadStoredState();
         });
 }
 
+bool owner::mayHavePredecessorsLeases() const
+{
+    const boot_time now = boot_clock::now();
+    const auto &all = m_scheduler.executors().all();
+    return std::any_of(all.begin(), all.end(),
+                       [now](const auto &each) { return mayHaveUnknownRuns(each.second, now); });
+}
+
 void owner::handOver(std::function<void()> done)
 {
     m_handedOver = true;
-    // An owner that has given no orders leaves what is recorded of those before.
-    if (!m_active) {
+    // The handover is orderly only if no leases of a lost predecessor may be in force.
+    if (!m_scheduling || mayHavePredecessorsLeases()) {
         boost::asio::post(m_services.loop, std::move(done));
         return;
     }
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -226,6 +226,7 @@
     CPPUNIT_TEST(lateRecordOfAnActiveOwnerLeavesItsEndOnRecord);
     CPPUNIT_TEST(ownerBecomesActiveBehindItsOwnLateYield);
     CPPUNIT_TEST(handoverBeforeTheFirstOrderKeepsWhatThePredecessorRecorded);
+    CPPUNIT_TEST(handoverBesideAnUnreachableExecutorIsNotOrderly);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
     CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
     CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
@@ -867,6 +868,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
     }
 
+    /** Guards against tasks that run twice: a former owner, cut off with an executor, grants leases
+        for some seconds more, and the owner that follows it is stopped meanwhile. The next one
+       would count on leases of one term from its takeover. */
+    void handoverBesideAnUnreachableExecutorIsNotOrderly()
+    {
+        m_store.put(std::string{store_keys::lastOwner}, "open");
+        recordLostExecutor(milliseconds{20'000});
+        m_vms.vms.clear();
+        startOwner();
+        run(milliseconds{300});
+        m_owner->handOver([] {});
+        run(milliseconds{50});
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
+    }
+
     void damagedEntryOfACandidateIsIgnored()
     {
         int number = 0;
