All keys of an ended job are removed in one write

A task of a job that had been shown as completed ran again after its owner was killed.

Cause: record, cancellation and progress were three units of the writer, so a transaction could remove the progress and leave the record to the next one; a successor took the job for a new one.

Change: they are one unit, hence in one transaction.

--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -713,8 +713,7 @@
     m_expiredRemovedAt = now;
     for (const job_id &id : m_scheduler.jobs().jobsEndedBefore(now - endedJobRetention)) {
         m_scheduler.jobs().erase(id);
-        m_writer.remove(
-            {store_keys::jobRecord(id), store_keys::jobCancel(id), store_keys::jobProgress(id)});
+        m_writer.removeJob(id);
     }
 }
 
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -56,9 +56,9 @@
     callAfter(m_timer, groupingTime, m_alive, [this] { flush(); });
 }
 
-void progress_writer::remove(const std::vector<std::string> &keys)
+void progress_writer::removeJob(const job_id &id)
 {
-    m_removals.insert(m_removals.end(), keys.begin(), keys.end());
+    m_endedJobs.insert(id);
     scheduleFlush();
 }
 
@@ -87,8 +87,7 @@
     collectJobs();
     collectExecutors();
     collectEndedExecutors();
-    for (std::string &key : std::exchange(m_removals, {}))
-        m_units.push_back({{{}, {}, {std::move(key)}}, {}, {}});
+    collectEndedJobs();
 }
 
 void progress_writer::collectJobs()
@@ -131,6 +130,17 @@
     }
 }
 
+void progress_writer::collectEndedJobs()
+{
+    for (const job_id &id : std::exchange(m_endedJobs, {}))
+        m_units.push_back(
+            {{{},
+              {},
+              {store_keys::jobRecord(id), store_keys::jobCancel(id), store_keys::jobProgress(id)}},
+             id,
+             {}});
+}
+
 void progress_writer::writeNext()
 {
     if (m_units.empty()) {
@@ -180,7 +190,9 @@
                                  const keyspace_commit &outcome)
 {
     for (const write_unit &each : chunk) {
-        if (job_entry *const job = m_scheduler.jobs().find(each.job))
+        job_entry *const job = m_scheduler.jobs().find(each.job);
+        // The identifier may have been used again during a removal.
+        if (job && !each.write.puts.empty())
             job->storedRevision = outcome.revision;
         if (each.executor.empty())
             continue;
@@ -199,7 +211,7 @@
 {
     for (const write_unit &each : chunk) {
         job_entry *const job = m_scheduler.jobs().find(each.job);
-        if (job) {
+        if (job && !each.write.puts.empty()) {
             const std::string key = store_keys::jobProgress(each.job);
             const auto found =
                 std::find_if(outcome.current.begin(), outcome.current.end(),
@@ -212,9 +224,9 @@
             m_records.apply(each.write, outcome);
             if (!each.write.removals.empty())
                 m_endedExecutors.insert(each.executor);
-            continue;
+        } else if (!each.write.removals.empty()) {
+            m_endedJobs.insert(each.job);
         }
-        m_removals.insert(m_removals.end(), each.write.removals.begin(), each.write.removals.end());
     }
 }
 
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -44,8 +44,9 @@
     /** Removes the record of an executor that has no more runs of this owner. */
     void removeExecutor(const executor_id &id);
 
-    /** Removes the keys of jobs that are no longer retained. */
-    void remove(const std::vector<std::string> &keys);
+    /** Removes all keys of a job that is no longer retained, at once: without its progress, the job
+        would run again. */
+    void removeJob(const job_id &id);
 
     /** Whether no write is pending or running. */
     [[nodiscard]] bool isIdle() const noexcept { return !m_flushing && !m_flushScheduled; }
@@ -55,7 +56,7 @@
     struct write_unit
     {
         keyspace_write write{};
-        /** Job whose progress is written; otherwise empty. */
+        /** Job whose progress is written, or whose keys are removed; otherwise empty. */
         job_id job{};
         /** Executor whose record is written or removed; otherwise empty. */
         executor_id executor{};
@@ -66,6 +67,7 @@
     void collectJobs();
     void collectExecutors();
     void collectEndedExecutors();
+    void collectEndedJobs();
     void writeNext();
     void handleCommit(std::vector<write_unit> &&chunk, keyspace_commit &&outcome);
     void noteStored(const std::vector<write_unit> &chunk, const keyspace_commit &outcome);
@@ -81,7 +83,8 @@
     lost_handler m_onLost;
     boost::asio::steady_timer m_timer;
     std::vector<write_unit> m_units{};
-    std::vector<std::string> m_removals{};
+    /** Jobs that are no longer retained. */
+    std::set<job_id> m_endedJobs{};
     /** Executors whose records are no longer needed. */
     std::set<executor_id> m_endedExecutors{};
     /** Revisions of the executors' records. */
--- a/test/azurelb/control/control_test.cpp
+++ b/test/azurelb/control/control_test.cpp
@@ -131,6 +131,7 @@
     CPPUNIT_TEST(lateRecordOfAnExecutorReplacesNoNewerOne);
     CPPUNIT_TEST(removesARecordOfAnEarlierOwner);
     CPPUNIT_TEST(conflictOfOneWriteKeepsTheRevisionsOfTheOthers);
+    CPPUNIT_TEST(keysOfAnEndedJobAreRemovedInOneWrite);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -310,6 +311,30 @@
                 m_scheduler.executors().find("m" + std::to_string(index))->ownershipRecorded);
     }
 
+    /** Guards against jobs that run again after a takeover (review case 6): the owner is killed
+        between two writes, of which the first has removed the progress of an ended job. */
+    void keysOfAnEndedJobAreRemovedInOneWrite()
+    {
+        constexpr int count{40};
+        const auto nameOf = [](int index) {
+            return "aaaaaaaaaaaaaa" + std::to_string(10 + index);
+        };
+        for (int index = 0; index < count; ++index) {
+            m_store.put(store_keys::jobRecord(nameOf(index)), "{}");
+            m_store.put(store_keys::jobProgress(nameOf(index)), "{}");
+        }
+        m_store.onCommit = [&] {
+            for (int index = 0; index < count; ++index)
+                CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(nameOf(index)))
+                               == !m_store.find(store_keys::jobProgress(nameOf(index))));
+        };
+        for (int index = 0; index < count; ++index)
+            m_writer->removeJob(nameOf(index));
+        run(milliseconds{100});
+        for (int index = 0; index < count; ++index)
+            CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(nameOf(index))));
+    }
+
 private:
     void addJob(const std::string &id)
     {
--- a/test/support/fake_keyspace.cpp
+++ b/test/support/fake_keyspace.cpp
@@ -89,6 +89,8 @@
     if (holds) {
         apply(write);
         outcome.revision = m_revision;
+        if (onCommit)
+            onCommit();
     } else {
         outcome.error = keyspace_error::conflict;
     }
--- a/test/support/fake_keyspace.hpp
+++ b/test/support/fake_keyspace.hpp
@@ -51,6 +51,8 @@
     /** Number of items in one page. */
     std::size_t pageSize{2};
     unsigned commits{0};
+    /** Called after each commit that takes effect. */
+    std::function<void()> onCommit{};
 
 private:
     struct pending_watch
