Ended jobs are removed only at the revisions last seen

The removal of an ended job was conditional on the owner's key alone: executed late, or repeated after a lost answer, it deleted a new job that used the identifier again and had been accepted. Not seen with real processes; identifiers are used again only if a caller does so over 150 s after the job's end.

Change: the removal names the revisions of record, cancellation and progress. The record never changes while a job exists, so another revision there means that an earlier removal has succeeded and nothing is left to do; other conflicts are retried. prefix_watcher tells the revisions that it has reported.

--- a/src/azurelb/control/fwd.hpp
+++ b/src/azurelb/control/fwd.hpp
@@ -8,6 +8,7 @@
 struct executor_reply;
 struct report_request;
 struct start_reply;
+struct stored_job;
 struct vm_entry;
 struct vm_listing;
 class executor_gateway;
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -712,8 +712,10 @@
     const boot_time now = boot_clock::now();
     m_expiredRemovedAt = now;
     for (const job_id &id : m_scheduler.jobs().jobsEndedBefore(now - endedJobRetention)) {
+        const store_revision progress = m_scheduler.jobs().find(id)->storedRevision;
         m_scheduler.jobs().erase(id);
-        m_writer.removeJob(id);
+        m_writer.removeJob({id, m_jobWatcher->revisionOf(store_keys::jobRecord(id)),
+                            m_jobWatcher->revisionOf(store_keys::jobCancel(id)), progress});
     }
 }
 
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -56,9 +56,9 @@
     callAfter(m_timer, groupingTime, m_alive, [this] { flush(); });
 }
 
-void progress_writer::removeJob(const job_id &id)
+void progress_writer::removeJob(const stored_job &job)
 {
-    m_endedJobs.insert(id);
+    m_endedJobs.push_back(job);
     scheduleFlush();
 }
 
@@ -132,13 +132,17 @@
 
 void progress_writer::collectEndedJobs()
 {
-    for (const job_id &id : std::exchange(m_endedJobs, {}))
+    for (const stored_job &each : std::exchange(m_endedJobs, {})) {
+        const std::string record = store_keys::jobRecord(each.id);
+        const std::string cancel = store_keys::jobCancel(each.id);
+        const std::string progress = store_keys::jobProgress(each.id);
         m_units.push_back(
-            {{{},
+            {{{{record, each.record}, {cancel, each.cancel}, {progress, each.progress}},
               {},
-              {store_keys::jobRecord(id), store_keys::jobCancel(id), store_keys::jobProgress(id)}},
-             id,
+              {record, cancel, progress}},
+             each.id,
              {}});
+    }
 }
 
 void progress_writer::writeNext()
@@ -225,11 +229,26 @@
             if (!each.write.removals.empty())
                 m_endedExecutors.insert(each.executor);
         } else if (!each.write.removals.empty()) {
-            m_endedJobs.insert(each.job);
+            requeueRemoval(each, outcome);
         }
     }
 }
 
+void progress_writer::requeueRemoval(const write_unit &unit, const keyspace_commit &outcome)
+{
+    key_revisions current;
+    for (const keyspace_condition &each : unit.write.conditions)
+        current.record({each.key, {}, each.revision, false});
+    current.apply(unit.write, outcome);
+    const std::string record = store_keys::jobRecord(unit.job);
+    // An earlier removal without an answer has succeeded.
+    if (current.of(record) != unit.write.conditions.front().revision)
+        return;
+    m_endedJobs.push_back({unit.job, current.of(record),
+                           current.of(store_keys::jobCancel(unit.job)),
+                           current.of(store_keys::jobProgress(unit.job))});
+}
+
 void progress_writer::retryLater()
 {
     m_units.clear();
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azurelb/control/fwd.hpp>
+#include <azurelb/control/stored_job.hpp>
 #include <azurelb/jobs/fwd.hpp>
 #include <azurelb/keyspace/key_revisions.hpp>
 #include <azurelb/keyspace/keyspace_replies.hpp>
@@ -22,7 +23,7 @@
 /**
  * Stores the scheduler's durable state: the progress of a job before the ended runs that led to it
  * are acknowledged, and an executor before runs start on it. Every write is conditional on the
- * owner's key being at its token and on each progress and each executor's record being at its last
+ * owner's key being at its token and on each key that it replaces or removes being at its last
  * known revision, so that neither an earlier owner nor a write that takes effect late can replace
  * or remove anything newer.
  */
@@ -46,7 +47,7 @@
 
     /** Removes all keys of a job that is no longer retained, at once: without its progress, the job
         would run again. */
-    void removeJob(const job_id &id);
+    void removeJob(const stored_job &job);
 
     /** Whether no write is pending or running. */
     [[nodiscard]] bool isIdle() const noexcept { return !m_flushing && !m_flushScheduled; }
@@ -72,6 +73,7 @@
     void handleCommit(std::vector<write_unit> &&chunk, keyspace_commit &&outcome);
     void noteStored(const std::vector<write_unit> &chunk, const keyspace_commit &outcome);
     void requeue(const std::vector<write_unit> &chunk, const keyspace_commit &outcome);
+    void requeueRemoval(const write_unit &unit, const keyspace_commit &outcome);
     void retryLater();
     void finishFlush();
 
@@ -84,7 +86,7 @@
     boost::asio::steady_timer m_timer;
     std::vector<write_unit> m_units{};
     /** Jobs that are no longer retained. */
-    std::set<job_id> m_endedJobs{};
+    std::vector<stored_job> m_endedJobs{};
     /** Executors whose records are no longer needed. */
     std::set<executor_id> m_endedExecutors{};
     /** Revisions of the executors' records. */
--- a/src/azurelb/keyspace/prefix_watcher.cpp
+++ b/src/azurelb/keyspace/prefix_watcher.cpp
@@ -38,6 +38,12 @@
     readAll();
 }
 
+store_revision prefix_watcher::revisionOf(const std::string &key) const noexcept
+{
+    const auto found = m_revisions.find(key);
+    return found == m_revisions.end() ? 0 : found->second;
+}
+
 void prefix_watcher::readAll()
 {
     m_listedKeys.clear();
--- a/src/azurelb/keyspace/prefix_watcher.hpp
+++ b/src/azurelb/keyspace/prefix_watcher.hpp
@@ -41,6 +41,9 @@
     /** Whether all keys have been read once. */
     [[nodiscard]] bool isSynced() const noexcept { return m_synced; }
 
+    /** Returns the revision of a key's last reported change; 0 if the key does not exist. */
+    [[nodiscard]] store_revision revisionOf(const std::string &key) const noexcept;
+
     [[nodiscard]] const read_state &state() const noexcept { return m_state; }
 
 private:
--- a/test/azurelb/control/control_test.cpp
+++ b/test/azurelb/control/control_test.cpp
@@ -10,6 +10,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <utility>
 
 namespace {
 
@@ -132,6 +133,9 @@
     CPPUNIT_TEST(removesARecordOfAnEarlierOwner);
     CPPUNIT_TEST(conflictOfOneWriteKeepsTheRevisionsOfTheOthers);
     CPPUNIT_TEST(keysOfAnEndedJobAreRemovedInOneWrite);
+    CPPUNIT_TEST(lateRemovalKeepsAJobThatUsesTheIdentifierAgain);
+    CPPUNIT_TEST(lostAnswerToARemovalKeepsAJobThatUsesTheIdentifierAgain);
+    CPPUNIT_TEST(jobThatIsCancelledDuringItsRemovalIsRemoved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -329,12 +333,56 @@
                                == !m_store.find(store_keys::jobProgress(nameOf(index))));
         };
         for (int index = 0; index < count; ++index)
-            m_writer->removeJob(nameOf(index));
+            m_writer->removeJob(storedJob(nameOf(index)));
         run(milliseconds{100});
         for (int index = 0; index < count; ++index)
             CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(nameOf(index))));
     }
 
+    /** The removal of an ended job without an answer would delete a new one, which was accepted. */
+    void lateRemovalKeepsAJobThatUsesTheIdentifierAgain()
+    {
+        flush();
+        m_store.put(store_keys::jobRecord(job), "{}");
+        m_store.put(store_keys::jobProgress(job), "{}");
+        m_store.lateCommits = 1;
+        m_writer->removeJob(storedJob(job));
+        run(milliseconds{250});
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(job)));
+        m_store.put(store_keys::jobRecord(job), "{}");
+        m_store.executeLateCommits();
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobRecord(job)));
+    }
+
+    /** The removal was executed; repeating it would delete the new job. */
+    void lostAnswerToARemovalKeepsAJobThatUsesTheIdentifierAgain()
+    {
+        flush();
+        m_store.put(store_keys::jobRecord(job), "{}");
+        m_store.put(store_keys::jobProgress(job), "{}");
+        m_store.lostCommitReplies = 1;
+        m_store.onCommit = [this, isFirst = true]() mutable {
+            if (std::exchange(isFirst, false))
+                m_store.put(store_keys::jobRecord(job), "{}");
+        };
+        m_writer->removeJob(storedJob(job));
+        run(milliseconds{400});
+        CPPUNIT_ASSERT(m_store.find(store_keys::jobRecord(job)));
+        CPPUNIT_ASSERT(m_writer->isIdle());
+    }
+
+    void jobThatIsCancelledDuringItsRemovalIsRemoved()
+    {
+        flush();
+        m_store.put(store_keys::jobRecord(job), "{}");
+        const stored_job ended = storedJob(job);
+        m_store.put(store_keys::jobCancel(job), "{}");
+        m_writer->removeJob(ended);
+        run(milliseconds{250});
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobRecord(job)));
+        CPPUNIT_ASSERT(!m_store.find(store_keys::jobCancel(job)));
+    }
+
 private:
     void addJob(const std::string &id)
     {
@@ -352,6 +400,16 @@
         m_scheduler.applyReport("e1", report, boot_clock::now(), boot_clock::now());
     }
 
+    [[nodiscard]] stored_job storedJob(const std::string &id) const
+    {
+        const auto revisionOf = [this](const std::string &key) {
+            const keyspace_item *const item = m_store.find(key);
+            return item ? item->revision : store_revision{0};
+        };
+        return {id, revisionOf(store_keys::jobRecord(id)), revisionOf(store_keys::jobCancel(id)),
+                revisionOf(store_keys::jobProgress(id))};
+    }
+
     void flush()
     {
         m_writer->scheduleFlush();
