--- a/test/support/fake_keyspace.cpp
+++ b/test/support/fake_keyspace.cpp
@@ -27,6 +27,12 @@
     return found == m_items.end() ? nullptr : &found->second;
 }
 
+store_lease_id fake_keyspace::leaseOf(const std::string &key) const
+{
+    const auto found = m_leases.find(key);
+    return found == m_leases.end() ? 0 : found->second;
+}
+
 void fake_keyspace::get(const std::string &key, range_handler done)
 {
     keyspace_range range;
--- a/test/support/fake_keyspace.hpp
+++ b/test/support/fake_keyspace.hpp
@@ -36,6 +36,10 @@
 
     [[nodiscard]] const keyspace_item *find(const std::string &key) const;
 
+    /** Returns the lease with which the key is removed; 0 if it has none. */
+    [[nodiscard]] store_lease_id leaseOf(const std::string &key) const;
+    [[nodiscard]] store_lease_id lastGrantedLease() const noexcept { return m_lastLease; }
+
     /** Executes the late commits whose conditions hold. */
     void executeLateCommits();
 
