The type of a write names the revision of each key that it changes

Revisions of waves are kept with the others in key_revisions. In a job's submission, the removal of an earlier rejection is built at each attempt.

--- a/src/azurelb/control/leader_election.cpp
+++ b/src/azurelb/control/leader_election.cpp
@@ -87,7 +87,7 @@
 void leader_election::releaseFormerClaim(const keyspace_item &item)
 {
     const std::string key{store_keys::owner};
-    const keyspace_write write{{{key, item.revision}}, {}, {key}};
+    const keyspace_write write = keyspace_write{}.remove(key, item.revision);
     m_keyspace.commit(write, [revision = item.revision](keyspace_commit &&outcome) {
         logEvent(event::former_claim_released,
                  {{"token", revision}, {"outcome", toString(outcome.error)}});
@@ -128,7 +128,7 @@
 void leader_election::acquireKey()
 {
     const std::string key{store_keys::owner};
-    const keyspace_write write{{{key, 0}}, {{key, m_claimValue, m_lease}}, {}};
+    const keyspace_write write = keyspace_write{}.replace({key, m_claimValue, m_lease}, 0);
     m_keyspace.commit(write, [this, alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&done) {
         if (!alive.expired())
             handleAcquisition(std::move(done));
--- a/src/azurelb/control/owner.cpp
+++ b/src/azurelb/control/owner.cpp
@@ -609,33 +609,25 @@
 void owner::storeWave(const wave_entry &wave, const wave_progress &progress)
 {
     const std::string key = store_keys::wave(wave.number);
-    const keyspace_write write{
-        {{std::string{store_keys::owner}, m_token}, {key, m_waveRevisions[wave.number]}},
-        {{key, encodeWaveProgress(wave.number, progress), 0}, m_services.encodeWaveState(wave)},
-        {}};
+    const keyspace_write write =
+        keyspace_write{}
+            .require(std::string{store_keys::owner}, m_token)
+            .replace({key, encodeWaveProgress(wave.number, progress), 0}, m_revisions.of(key))
+            .putBeside(key, m_services.encodeWaveState(wave));
     m_services.store.commit(write,
-                            [this, number = wave.number,
+                            [this, write, number = wave.number,
                              alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) {
                                 if (alive.expired())
                                     return;
+                                m_revisions.apply(write, outcome);
                                 if (outcome.error == keyspace_error::none)
-                                    m_waveRevisions[number] = outcome.revision;
-                                else
-                                    handleWaveNotStored(number, outcome);
+                                    return;
+                                logEvent(event::progress_not_stored,
+                                         {{"error", toString(outcome.error)}, {"wave", number}});
+                                m_vmManager.reportAgain(number);
                             });
 }
 
-void owner::handleWaveNotStored(std::int64_t number, const keyspace_commit &outcome)
-{
-    logEvent(event::progress_not_stored, {{"error", toString(outcome.error)}, {"wave", number}});
-    const std::string key = store_keys::wave(number);
-    for (const keyspace_item &each : outcome.current) {
-        if (each.key == key)
-            m_waveRevisions[number] = each.removed ? 0 : each.revision;
-    }
-    m_vmManager.reportAgain(number);
-}
-
 std::string owner::encodeWaitingCounts() const
 {
     json::object counts;
@@ -666,21 +658,20 @@
 
     std::string waiting = encodeWaitingCounts();
     const load_forecast forecast = makeForecast(loads, m_publishedAt);
-    keyspace_write write{{{std::string{store_keys::owner}, m_token}}, {}, {}};
+    keyspace_write write;
+    write.require(std::string{store_keys::owner}, m_token);
     if (waiting != m_publishedWaiting) {
-        std::string key{store_keys::waiting};
-        write.conditions.push_back({key, m_revisions.of(key)});
-        write.puts.push_back({std::move(key), std::move(waiting), 0});
+        const std::string key{store_keys::waiting};
+        write.replace({key, std::move(waiting), 0}, m_revisions.of(key));
         // Until it is answered, this write may replace the published counts at any time.
         m_publishedWaiting.reset();
     }
     if (!forecast.empty() || m_forecastStored) {
-        std::string key{store_keys::forecast};
-        write.conditions.push_back({key, m_revisions.of(key)});
-        write.puts.push_back({std::move(key), encode(forecast), 0});
+        const std::string key{store_keys::forecast};
+        write.replace({key, encode(forecast), 0}, m_revisions.of(key));
         m_forecastStored = true;
     }
-    if (write.puts.empty())
+    if (write.empty())
         return;
     m_services.store.commit(write,
                             [this, write, listsPools = !forecast.empty(),
@@ -696,7 +687,7 @@
     m_revisions.apply(write, outcome);
     if (outcome.error != keyspace_error::none)
         return;
-    for (const keyspace_put &each : write.puts) {
+    for (const keyspace_put &each : write.operations().puts) {
         // The answer to a newer write may have arrived before.
         if (m_revisions.of(each.key) != outcome.revision)
             continue;
--- a/src/azurelb/control/owner.hpp
+++ b/src/azurelb/control/owner.hpp
@@ -163,7 +163,6 @@
     [[nodiscard]] load_forecast
     makeForecast(const std::unordered_map<std::string, pool_load> &loads, boot_time now);
     void storeWave(const wave_entry &wave, const wave_progress &progress);
-    void handleWaveNotStored(std::int64_t number, const keyspace_commit &outcome);
     void removeExpiredJobs();
     /** Logs notices of the scheduler and acknowledgements. */
     void recordNotices();
@@ -212,8 +211,6 @@
     /** Cancellations that were read before their jobs. */
     std::set<job_id> m_earlyCancellations{};
     desired_state m_desired{};
-    /** Revisions of the stored progress of waves. */
-    std::unordered_map<std::int64_t, store_revision> m_waveRevisions{};
     /** Revisions of the keys that only the owner writes, apart from progress and records. */
     key_revisions m_revisions{};
     /** Counts that the store holds; none while a write of them has no answer. */
--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -120,9 +120,9 @@
 keyspace_write owner::makeStateWrite(std::string_view state) const
 {
     const std::string key{store_keys::lastOwner};
-    return {{{std::string{store_keys::owner}, m_token}, {key, m_revisions.of(key)}},
-            {{key, std::string{state}, 0}},
-            {}};
+    return keyspace_write{}
+        .require(std::string{store_keys::owner}, m_token)
+        .replace({key, std::string{state}, 0}, m_revisions.of(key));
 }
 
 void owner::recordActiveOwner()
@@ -231,7 +231,7 @@
         const numbered_wave_progress wave = decodeWaveProgress(item.value);
         if (wave.number == 0)
             logEvent(event::stored_value_damaged, {{"key", key}});
-        m_waveRevisions[wave.number] = item.revision;
+        m_revisions.record(item);
         m_vmManager.restore(wave);
         return;
     }
--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -21,20 +21,6 @@
 constexpr milliseconds groupingTime{12};
 /** Delay after a write that failed or was refused. */
 constexpr milliseconds retryDelay{100};
-/** One entry of each write is the condition on the owner's key. */
-constexpr std::size_t maxUnitEntries{keyspace::maxWriteEntries - 1};
-
-std::size_t sizeOf(const keyspace_write &write) noexcept
-{
-    return write.conditions.size() + write.puts.size() + write.removals.size();
-}
-
-void append(keyspace_write &to, const keyspace_write &from)
-{
-    to.conditions.insert(to.conditions.end(), from.conditions.begin(), from.conditions.end());
-    to.puts.insert(to.puts.end(), from.puts.begin(), from.puts.end());
-    to.removals.insert(to.removals.end(), from.removals.begin(), from.removals.end());
-}
 
 } // namespace
 
@@ -97,10 +83,9 @@
         if (!job)
             continue;
         const std::string key = store_keys::jobProgress(id);
-        m_units.push_back(
-            {{{{key, job->storedRevision}}, {{key, encode(job_table::progressOf(*job)), 0}}, {}},
-             id,
-             {}});
+        keyspace_write write;
+        write.replace({key, encode(job_table::progressOf(*job)), 0}, job->storedRevision);
+        m_units.push_back({std::move(write), id, {}});
     }
 }
 
@@ -112,10 +97,9 @@
         if (!isNeeded || executor.ownershipRecorded)
             continue;
         const std::string key = store_keys::executor(id);
-        m_units.push_back(
-            {{{{key, m_records.of(key)}}, {{key, encodeRegistration(executor.info), 0}}, {}},
-             {},
-             id});
+        keyspace_write write;
+        write.replace({key, encodeRegistration(executor.info), 0}, m_records.of(key));
+        m_units.push_back({std::move(write), {}, id});
     }
 }
 
@@ -126,22 +110,18 @@
         if (m_scheduler.executors().find(id))
             continue;
         const std::string key = store_keys::executor(id);
-        m_units.push_back({{{{key, m_records.of(key)}}, {}, {key}}, {}, id});
+        m_units.push_back({keyspace_write{}.remove(key, m_records.of(key)), {}, id});
     }
 }
 
 void progress_writer::collectEndedJobs()
 {
     for (const stored_job &each : std::exchange(m_endedJobs, {})) {
-        const std::string record = store_keys::jobRecord(each.id);
-        const std::string cancel = store_keys::jobCancel(each.id);
-        const std::string progress = store_keys::jobProgress(each.id);
-        m_units.push_back(
-            {{{{record, each.record}, {cancel, each.cancel}, {progress, each.progress}},
-              {},
-              {record, cancel, progress}},
-             each.id,
-             {}});
+        keyspace_write write;
+        write.remove(store_keys::jobRecord(each.id), each.record)
+            .remove(store_keys::jobCancel(each.id), each.cancel)
+            .remove(store_keys::jobProgress(each.id), each.progress);
+        m_units.push_back({std::move(write), each.id, {}});
     }
 }
 
@@ -153,12 +133,13 @@
     }
     keyspace_write write;
     std::vector<write_unit> chunk;
-    while (!m_units.empty() && sizeOf(write) + sizeOf(m_units.back().write) <= maxUnitEntries) {
-        append(write, m_units.back().write);
+    write.require(std::string{store_keys::owner}, m_token);
+    while (!m_units.empty()
+           && write.size() + m_units.back().write.size() <= keyspace::maxWriteEntries) {
+        write.append(m_units.back().write);
         chunk.push_back(std::move(m_units.back()));
         m_units.pop_back();
     }
-    write.conditions.push_back({std::string{store_keys::owner}, m_token});
     m_keyspace.commit(write,
                       [this, chunk = std::move(chunk),
                        alive = std::weak_ptr<bool>{m_alive}](keyspace_commit &&outcome) mutable {
@@ -196,7 +177,7 @@
     for (const write_unit &each : chunk) {
         job_entry *const job = m_scheduler.jobs().find(each.job);
         // The identifier may have been used again during a removal.
-        if (job && !each.write.puts.empty())
+        if (job && !each.write.operations().puts.empty())
             job->storedRevision = outcome.revision;
         if (each.executor.empty())
             continue;
@@ -204,8 +185,8 @@
         executor_entry *const executor = m_scheduler.executors().find(each.executor);
         // The executor may have changed during the write, or registered again during a removal.
         if (executor)
-            executor->ownershipRecorded = !each.write.puts.empty()
-                && each.write.puts.front().value == encodeRegistration(executor->info);
+            executor->ownershipRecorded = !each.write.operations().puts.empty()
+                && each.write.operations().puts.front().value == encodeRegistration(executor->info);
     }
 }
 
@@ -215,7 +196,7 @@
 {
     for (const write_unit &each : chunk) {
         job_entry *const job = m_scheduler.jobs().find(each.job);
-        if (job && !each.write.puts.empty()) {
+        if (job && !each.write.operations().puts.empty()) {
             const std::string key = store_keys::jobProgress(each.job);
             const auto found =
                 std::find_if(outcome.current.begin(), outcome.current.end(),
@@ -226,9 +207,9 @@
         }
         if (!each.executor.empty()) {
             m_records.apply(each.write, outcome);
-            if (!each.write.removals.empty())
+            if (!each.write.operations().removals.empty())
                 m_endedExecutors.insert(each.executor);
-        } else if (!each.write.removals.empty()) {
+        } else if (!each.write.operations().removals.empty()) {
             requeueRemoval(each, outcome);
         }
     }
@@ -237,12 +218,12 @@
 void progress_writer::requeueRemoval(const write_unit &unit, const keyspace_commit &outcome)
 {
     key_revisions current;
-    for (const keyspace_condition &each : unit.write.conditions)
+    for (const keyspace_condition &each : unit.write.operations().conditions)
         current.record({each.key, {}, each.revision, false});
     current.apply(unit.write, outcome);
     const std::string record = store_keys::jobRecord(unit.job);
     // An earlier removal without an answer has succeeded.
-    if (current.of(record) != unit.write.conditions.front().revision)
+    if (current.of(record) != unit.write.operations().conditions.front().revision)
         return;
     m_endedJobs.push_back({unit.job, current.of(record),
                            current.of(store_keys::jobCancel(unit.job)),
--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -155,11 +155,18 @@
     const boot_time begun = boot_clock::now();
     const std::string key = store_keys::jobRecord(job.id);
     const std::string rejection = store_keys::jobRejection(job.id);
-    keyspace_write write{{{key, 0}, {rejection, 0}}, {{key, encode(job), 0}}, {}};
+    const std::string record = encode(job);
+    store_revision rejectedAt = 0;
     bool mayExist = false;
     while (true) {
         if (isStoreUnavailable() && !mayExist)
             co_return submit_result{intake_outcome::refused};
+        keyspace_write write;
+        write.replace({key, record, 0}, 0);
+        if (rejectedAt != 0)
+            write.remove(rejection, rejectedAt);
+        else
+            write.require(rejection, 0);
         const keyspace_commit outcome = co_await commit(write);
         const bool conflict = outcome.error == keyspace_error::conflict;
         if (outcome.error == keyspace_error::none || (conflict && findItem(outcome, key)))
@@ -172,8 +179,7 @@
             if (earlier && mode == resubmission::ask)
                 co_return submit_result{intake_outcome::rejected_before,
                                         decodeBarrier(*earlier).firstSubmittedAt};
-            write.conditions.back().revision = earlier ? earlier->revision : 0;
-            write.removals.assign(earlier ? 1 : 0, rejection);
+            rejectedAt = earlier ? earlier->revision : 0;
         } else {
             probe();
             mayExist = mayExist || outcome.error != keyspace_error::refused;
@@ -226,8 +232,8 @@
         if (lease != 0) {
             // Rewritten also if it exists: that makes an earlier acceptance fail that is on its
             // way.
-            const keyspace_write write{
-                {{key, 0}, {rejection, rejectedAt}}, {{rejection, encode(with), lease}}, {}};
+            const keyspace_write write = keyspace_write{}.require(key, 0).replace(
+                {rejection, encode(with), lease}, rejectedAt);
             const keyspace_commit outcome = co_await commit(write);
             if (outcome.error == keyspace_error::none)
                 co_return intake_outcome::done;
@@ -268,9 +274,9 @@
                 co_return intake_outcome::unknown;
         }
         if (read.error == keyspace_error::none) {
-            const keyspace_write write{{{record, read.items.front().revision}, {cancelKey, 0}},
-                                       {{cancelKey, "{}", 0}},
-                                       {}};
+            const keyspace_write write = keyspace_write{}
+                                             .require(record, read.items.front().revision)
+                                             .replace({cancelKey, "{}", 0}, 0);
             const keyspace_commit outcome = co_await commit(write);
             if (outcome.error == keyspace_error::none)
                 co_return intake_outcome::done;
--- a/src/azurelb/keyspace/fwd.hpp
+++ b/src/azurelb/keyspace/fwd.hpp
@@ -6,13 +6,14 @@
 
 enum class keyspace_error;
 struct keyspace_item;
+struct keyspace_operations;
 struct keyspace_range;
 struct keyspace_changes;
 struct keyspace_commit;
 struct keyspace_lease;
-struct keyspace_write;
 class key_revisions;
 class keyspace;
+class keyspace_write;
 class prefix_reader;
 class prefix_watcher;
 
--- a/src/azurelb/keyspace/key_revisions.cpp
+++ b/src/azurelb/keyspace/key_revisions.cpp
@@ -20,15 +20,15 @@
 void key_revisions::apply(const keyspace_write &write, const keyspace_commit &outcome)
 {
     if (outcome.error == keyspace_error::none) {
-        for (const keyspace_put &each : write.puts)
+        for (const keyspace_put &each : write.operations().puts)
             set(each.key, outcome.revision);
-        for (const std::string &each : write.removals)
+        for (const std::string &each : write.operations().removals)
             set(each, 0);
         return;
     }
     if (outcome.error != keyspace_error::conflict)
         return;
-    for (const keyspace_condition &each : write.conditions) {
+    for (const keyspace_condition &each : write.operations().conditions) {
         const auto found =
             std::find_if(outcome.current.begin(), outcome.current.end(),
                          [&each](const keyspace_item &item) { return item.key == each.key; });
--- a/test/azurelb/intake/job_intake_test.cpp
+++ b/test/azurelb/intake/job_intake_test.cpp
@@ -174,9 +174,9 @@
         CPPUNIT_ASSERT(await(m_intake.reject(job, milliseconds{5000}, deadline))
                        == intake_outcome::done);
         const std::string record = store_keys::jobRecord(job);
-        const keyspace_write delayed{
+        const keyspace_operations delayed{
             {{record, 0}, {store_keys::jobRejection(job), 0}}, {{record, "{}", 0}}, {}};
-        m_store.commit(delayed, [](keyspace_commit &&outcome) {
+        m_store.execute(delayed, [](keyspace_commit &&outcome) {
             CPPUNIT_ASSERT(outcome.error == keyspace_error::conflict);
         });
         m_loop.restart();
@@ -211,12 +211,13 @@
         await(m_intake.reject(job, milliseconds{5000}, deadline));
         const std::string record = store_keys::jobRecord(job);
         const std::string rejection = store_keys::jobRejection(job);
-        const keyspace_write delayed{{{record, 0}, {rejection, m_store.find(rejection)->revision}},
-                                     {{record, "{}", 0}},
-                                     {rejection}};
+        const keyspace_operations delayed{
+            {{record, 0}, {rejection, m_store.find(rejection)->revision}},
+            {{record, "{}", 0}},
+            {rejection}};
         CPPUNIT_ASSERT(await(m_intake.reject(job, milliseconds{9000}, deadline))
                        == intake_outcome::done);
-        m_store.commit(delayed, [](keyspace_commit &&outcome) {
+        m_store.execute(delayed, [](keyspace_commit &&outcome) {
             CPPUNIT_ASSERT(outcome.error == keyspace_error::conflict);
         });
         m_loop.restart();
--- a/test/azurelb/keyspace/key_revisions_test.cpp
+++ b/test/azurelb/keyspace/key_revisions_test.cpp
@@ -31,7 +31,7 @@
     void followsWrites()
     {
         m_revisions.record({"b", "x", 3, false});
-        m_revisions.apply({{{"a", 0}, {"b", 3}}, {{"a", "x", 0}}, {"b"}},
+        m_revisions.apply(keyspace_write{}.replace({"a", "x", 0}, 0).remove("b", 3),
                           {keyspace_error::none, 7, {}});
         CPPUNIT_ASSERT_EQUAL(store_revision{7}, m_revisions.of("a"));
         CPPUNIT_ASSERT_EQUAL(store_revision{0}, m_revisions.of("b"));
@@ -42,7 +42,7 @@
         m_revisions.record({"a", "x", 3, false});
         m_revisions.record({"b", "x", 3, false});
         m_revisions.record({"c", "x", 3, false});
-        m_revisions.apply({{{"a", 3}, {"b", 3}}, {{"a", "x", 0}, {"b", "x", 0}}, {}},
+        m_revisions.apply(keyspace_write{}.replace({"a", "x", 0}, 3).replace({"b", "x", 0}, 3),
                           {keyspace_error::conflict, 0, {{"a", "y", 9, false}, {"b", {}, 0}}});
         CPPUNIT_ASSERT_EQUAL(store_revision{9}, m_revisions.of("a"));
         CPPUNIT_ASSERT_EQUAL(store_revision{0}, m_revisions.of("b"));
@@ -52,13 +52,13 @@
     void callWithoutAnswerChangesNothing()
     {
         m_revisions.record({"a", "x", 3, false});
-        m_revisions.apply({{{"a", 3}}, {}, {"a"}}, {keyspace_error::unknown, 0, {}});
+        m_revisions.apply(keyspace_write{}.remove("a", 3), {keyspace_error::unknown, 0, {}});
         CPPUNIT_ASSERT_EQUAL(store_revision{3}, m_revisions.of("a"));
     }
 
     void answerThatWasOvertakenChangesNothing()
     {
-        const keyspace_write write{{{"a", 0}}, {{"a", "x", 0}}, {}};
+        const keyspace_write write = keyspace_write{}.replace({"a", "x", 0}, 0);
         m_revisions.apply(write, {keyspace_error::none, 7, {}});
         m_revisions.apply(write, {keyspace_error::conflict, 0, {{"a", "y", 5, false}}});
         CPPUNIT_ASSERT_EQUAL(store_revision{7}, m_revisions.of("a"));
--- a/test/soak/store_endpoint.cpp
+++ b/test/soak/store_endpoint.cpp
@@ -74,9 +74,9 @@
     return jsonResponse(status, json::serialize(body));
 }
 
-keyspace_write decodeWrite(const json::object &in)
+keyspace_operations decodeWrite(const json::object &in)
 {
-    keyspace_write write;
+    keyspace_operations write;
     for (const json::value &each : in.at("ExpectedRev").as_array())
         write.conditions.push_back({std::string{each.at("Key").as_string()},
                                     each.at("Revision").to_number<store_revision>()});
@@ -197,9 +197,9 @@
     const auto in = platform::parseObject(body);
     if (!in)
         co_return reply(http::status::bad_request, {});
-    const keyspace_write write = decodeWrite(*in);
+    const keyspace_operations write = decodeWrite(*in);
     const auto outcome = co_await awaitCallback<keyspace_commit>(
-        m_loop, [&](auto done) { m_state.commit(write, std::move(done)); });
+        m_loop, [&](auto done) { m_state.execute(write, std::move(done)); });
     if (++m_commits % 10 < m_faults.lostRepliesPerTen)
         (void)co_await sleepFor(lostReplyDelay);
     if (outcome && outcome->error == keyspace_error::conflict)
--- a/test/support/fake_keyspace.cpp
+++ b/test/support/fake_keyspace.cpp
@@ -65,6 +65,11 @@
 }
 
 void fake_keyspace::commit(const keyspace_write &write, commit_handler done)
+{
+    execute(write.operations(), std::move(done));
+}
+
+void fake_keyspace::execute(const keyspace_operations &write, commit_handler done)
 {
     ++commits;
     keyspace_commit outcome;
@@ -109,11 +114,11 @@
 
 void fake_keyspace::executeLateCommits()
 {
-    for (const keyspace_write &each : std::exchange(m_lateWrites, {}))
-        commit(each, [](keyspace_commit &&) {});
+    for (const keyspace_operations &each : std::exchange(m_lateWrites, {}))
+        execute(each, [](keyspace_commit &&) {});
 }
 
-void fake_keyspace::apply(const keyspace_write &write)
+void fake_keyspace::apply(const keyspace_operations &write)
 {
     ++m_revision;
     for (const keyspace_put &each : write.puts) {
--- a/test/support/fake_keyspace.hpp
+++ b/test/support/fake_keyspace.hpp
@@ -27,6 +27,9 @@
     void watch(const std::string &prefix, store_revision after, std::chrono::milliseconds wait,
                changes_handler done) override;
 
+    /** Executes the operations of another client, which may lack conditions. */
+    void execute(const keyspace_operations &operations, commit_handler done);
+
     /** Writes a key on behalf of another client. */
     store_revision put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
@@ -67,7 +70,7 @@
         std::uint64_t number{0};
     };
 
-    void apply(const keyspace_write &write);
+    void apply(const keyspace_operations &write);
     void change(keyspace_item item);
     void notifyWatches();
     void expireWatch(std::uint64_t number);
@@ -81,7 +84,7 @@
     std::map<std::string, store_lease_id> m_leases{};
     std::vector<keyspace_item> m_history{};
     std::vector<pending_watch> m_watches{};
-    std::vector<keyspace_write> m_lateWrites{};
+    std::vector<keyspace_operations> m_lateWrites{};
     std::uint64_t m_lastWatch{0};
     store_revision m_revision{1};
     store_revision m_firstRevision{0};
