Soak: the store executes writes late

The soak's store applied each commit at once and only withheld replies; PROTOCOL.md allows a call without a response to be executed seconds later if its condition still holds. The audit checks Waiting against the jobs that were accepted and have not begun, and that executors with runs have a record.

Busy executors keep their records for the longest lease, and lateness of all commits held up the removals themselves.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -43,10 +43,11 @@
         scenario.run();
         const auto &audit = scenario.audit();
         std::printf("seed %llu: %zu jobs, %zu starts, %zu faults:%s; %zu starts after done, "
-                    "%zu beside another run: %s\n",
+                    "%zu beside another run; %zu counts checked of up to %zu waiting jobs: %s\n",
                     static_cast<unsigned long long>(seed), audit.jobCount(), audit.startCount(),
                     scenario.faultCount(), scenario.faults().c_str(), audit.startsAfterDone(),
-                    audit.concurrentStarts(), audit.violations().empty() ? "ok" : "FAILED");
+                    audit.concurrentStarts(), audit.waitingAnswers(), audit.mostWaiting(),
+                    audit.violations().empty() ? "ok" : "FAILED");
         for (const std::string &each : audit.violations())
             std::printf("  %s\n", each.c_str());
         if (audit.violations().empty())
--- a/test/soak/run_audit.cpp
+++ b/test/soak/run_audit.cpp
@@ -1,9 +1,18 @@
 #include "run_audit.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace azurelb::soak {
 
+namespace {
+
+/** A job that was accepted so long before must be counted as waiting until it has begun: the time
+    for it to be visible (visible_ms, 3 s) and 2 s. */
+constexpr std::chrono::milliseconds waitingBound{5000};
+
+} // namespace
+
 void run_audit::submitted(const job_id &job, const std::string &spec)
 {
     m_specs[job] = spec;
@@ -29,6 +38,7 @@
         addViolation("a task was started after its success was acknowledged: " + name);
     }
     m_starts.push_back({task, now, wasDone});
+    m_begun.insert(task.job);
 }
 
 void run_audit::acknowledged(const task_id &task, bool done, boot_time endedAt)
@@ -59,10 +69,25 @@
     }
 }
 
+void run_audit::waiting(std::size_t count, boot_time askedAt)
+{
+    const auto overdue = static_cast<std::size_t>(
+        std::count_if(m_accepted.begin(), m_accepted.end(), [&](const auto &each) {
+            const auto &[job, at] = each;
+            return at + waitingBound <= askedAt && !m_begun.contains(job)
+                && !m_cancelled.contains(job) && !m_ended.contains(job);
+        }));
+    ++m_waitingAnswers;
+    m_mostWaiting = std::max(m_mostWaiting, overdue);
+    if (2 * count < overdue)
+        addViolation(std::to_string(count) + " jobs were said to wait while "
+                     + std::to_string(overdue) + " did");
+}
+
 std::set<job_id> run_audit::unfinishedJobs() const
 {
     std::set<job_id> unfinished;
-    for (const job_id &job : m_accepted) {
+    for (const auto &[job, at] : m_accepted) {
         if (!m_ended.contains(job) && !m_cancelled.contains(job))
             unfinished.insert(job);
     }
--- a/test/soak/run_audit.hpp
+++ b/test/soak/run_audit.hpp
@@ -18,7 +18,7 @@
     /** A caller submits the job; its tasks must run with this specification. */
     void submitted(const job_id &job, const std::string &spec);
     /** The job was accepted and must end. */
-    void accepted(const job_id &job) { m_accepted.insert(job); }
+    void accepted(const job_id &job, boot_time at) { m_accepted.emplace(job, at); }
     /** Every attempt to submit the job was refused, so none of its tasks may run. */
     void refused(const job_id &job) { m_refused.insert(job); }
     void cancelled(const job_id &job) { m_cancelled.insert(job); }
@@ -34,6 +34,9 @@
     /** A caller received the state "completed" for the job. */
     void completed(const job_id &job, std::uint32_t tasks);
 
+    /** A caller was told how many jobs wait; its request was sent at the given time. */
+    void waiting(std::size_t count, boot_time askedAt);
+
     /** Accepted jobs that were neither cancelled nor observed to end. */
     [[nodiscard]] std::set<job_id> unfinishedJobs() const;
     void ended(const job_id &job) { m_ended.insert(job); }
@@ -49,6 +52,10 @@
     [[nodiscard]] std::size_t startsAfterDone() const noexcept { return m_startsAfterDone; }
     /** Starts while another run of the task was active. */
     [[nodiscard]] std::size_t concurrentStarts() const noexcept { return m_concurrentStarts; }
+    /** Answers with the number of waiting jobs that were checked. */
+    [[nodiscard]] std::size_t waitingAnswers() const noexcept { return m_waitingAnswers; }
+    /** Greatest number of jobs that had to be counted as waiting. */
+    [[nodiscard]] std::size_t mostWaiting() const noexcept { return m_mostWaiting; }
     [[nodiscard]] std::size_t jobCount() const noexcept { return m_accepted.size(); }
 
 private:
@@ -60,7 +67,7 @@
     };
 
     std::map<job_id, std::string> m_specs{};
-    std::set<job_id> m_accepted{};
+    std::map<job_id, boot_time> m_accepted{};
     std::set<job_id> m_refused{};
     std::set<job_id> m_cancelled{};
     std::set<job_id> m_ended{};
@@ -69,8 +76,11 @@
     /** Tasks whose successful run was acknowledged. */
     std::set<task_id> m_acknowledged{};
     std::vector<start_record> m_starts{};
+    std::set<job_id> m_begun{};
     std::size_t m_startsAfterDone{0};
     std::size_t m_concurrentStarts{0};
+    std::size_t m_waitingAnswers{0};
+    std::size_t m_mostWaiting{0};
     std::vector<std::string> m_violations{};
 };
 
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -29,6 +29,7 @@
 constexpr milliseconds retryDelay{250};
 constexpr milliseconds pollInterval{300};
 constexpr unsigned maxAttempts{8};
+constexpr std::uint64_t maxWaitingJobs{1'000'000};
 /** Tasks that last as long as this may outlast a takeover. */
 constexpr milliseconds longDuration{5000};
 constexpr unsigned statusOk{200};
@@ -66,14 +67,19 @@
 }
 
 void soak_caller::submitJob(milliseconds duration)
+{
+    submitJob(duration, static_cast<std::uint32_t>(1 + draw(6)), draw(10) == 0);
+}
+
+void soak_caller::submitJob(milliseconds duration, std::uint32_t tasks, bool cancels)
 {
     planned_job plan;
     std::array<char, 17> id{};
     std::snprintf(id.data(), id.size(), "%08zx%08zx", draw(1U << 31U), draw(1U << 31U));
     plan.id = id.data();
     plan.spec = std::to_string(duration.count());
-    plan.tasks = static_cast<std::uint32_t>(1 + draw(6));
-    plan.cancels = draw(10) == 0;
+    plan.tasks = tasks;
+    plan.cancels = cancels;
     if (duration >= longDuration)
         m_longJobs.insert(plan.id);
     m_audit.submitted(plan.id, plan.spec);
@@ -132,11 +138,25 @@
     co_return answer.status == statusOk || answer.status == statusGone;
 }
 
+void soak_caller::askForWaitingJobs()
+{
+    asio::co_spawn(m_loop, checkWaitingJobs(), asio::detached);
+}
+
+asio::awaitable<void> soak_caller::checkWaitingJobs()
+{
+    const boot_time askedAt = boot_clock::now();
+    const call_answer answer = co_await call(http::verb::get, {}, {});
+    const auto body = platform::parseObject(answer.body);
+    if (answer.status == statusOk && body)
+        m_audit.waiting(platform::countOf(*body, "Waiting", maxWaitingJobs), askedAt);
+}
+
 asio::awaitable<void> soak_caller::follow(planned_job plan)
 {
     const bool accepted = co_await submit(plan);
     if (accepted) {
-        m_audit.accepted(plan.id);
+        m_audit.accepted(plan.id, boot_clock::now());
         co_await sleepFor(pollInterval);
     }
     bool over = !accepted;
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -29,6 +29,10 @@
     void submitJob();
     /** Submits a random job whose tasks last as long as given, and polls it until it ends. */
     void submitJob(std::chrono::milliseconds duration);
+    void submitJob(std::chrono::milliseconds duration, std::uint32_t tasks, bool cancels);
+
+    /** Asks one of the daemons for the number of waiting jobs, which the audit checks. */
+    void askForWaitingJobs();
 
     /** Number of jobs still being submitted or polled. */
     [[nodiscard]] std::size_t activeCount() const noexcept { return m_active; }
@@ -51,6 +55,7 @@
         bool cancels{false};
     };
 
+    boost::asio::awaitable<void> checkWaitingJobs();
     boost::asio::awaitable<void> follow(planned_job plan);
     boost::asio::awaitable<bool> submit(const planned_job &plan);
     boost::asio::awaitable<bool> cancel(const planned_job &plan);
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -35,6 +35,10 @@
 /** Executors that recutBehindIntermediary() restarts at a time. */
 constexpr std::size_t executorsPerCut{4};
 constexpr std::size_t longJobsPerCut{8};
+/** The directory removes an entry after three heartbeat intervals of 1.5 s without one. */
+constexpr milliseconds registrationTerm{4500};
+/** The latest moment at which a late commit is executed, counted from its arrival. */
+constexpr milliseconds maxCommitDelay{6000};
 
 const char *const noFault{"{}"};
 const char *const cutAll{R"({"cut":"CUT_ALL"})"};
@@ -43,7 +47,7 @@
 
 } // namespace
 
-const std::array<soak_scenario::fault, 22> soak_scenario::faultTypes{{
+const std::array<soak_scenario::fault, 25> soak_scenario::faultTypes{{
     {"kill", &soak_scenario::killDaemon},
     {"stop", &soak_scenario::terminateDaemon},
     {"pause", &soak_scenario::pauseDaemon},
@@ -66,6 +70,9 @@
     {"restart-unnamed", &soak_scenario::restartWithUnnamedEntry},
     {"recut-kept", &soak_scenario::recutBehindIntermediary, &soak_scenario::isCutOffOver},
     {"recut-closing", &soak_scenario::recutClosingExecutors, &soak_scenario::isCutOffOver, true},
+    {"store-executes-late", &soak_scenario::executeCommitsLate},
+    {"late-records", &soak_scenario::executeExecutorRecordsLate, &soak_scenario::isCutOffOver},
+    {"late-counts", &soak_scenario::executeWaitingCountsLate, &soak_scenario::isCutOffOver},
 }};
 
 soak_scenario::soak_scenario(const soak_options &options)
@@ -626,6 +633,121 @@
     m_store.state().dropHistory();
 }
 
+void soak_scenario::executeCommitsLateDuring(milliseconds time, const std::string &prefix)
+{
+    m_store.faults().lateCommitsPerTen = 5;
+    m_store.faults().lateKeyPrefix = prefix;
+    schedule(time, [this] { m_store.faults().lateCommitsPerTen = 0; });
+}
+
+void soak_scenario::executeCommitsLate()
+{
+    executeCommitsLateDuring(randomDuration(500, 4000), {});
+}
+
+void soak_scenario::cutOffUntilUnregistered(soak_executor &executor, milliseconds outage)
+{
+    setProxy(executor, cutAll);
+    schedule(registrationTerm,
+             [this, &executor] { m_store.state().remove("servers/" + executor.id); });
+    schedule(outage, [this, &executor] {
+        setProxy(executor, noFault);
+        registerExecutor(executor);
+    });
+}
+
+/** The less busy half of the executors is cut off one after the other until their records are
+   removed, and is back at once; some of the writes of these records are executed late. Then long
+   tasks are placed, executors are cut off again and the owner changes: runs on an executor without
+   its record start elsewhere. */
+void soak_scenario::executeExecutorRecordsLate()
+{
+    executor_list chosen;
+    for (soak_executor &each : m_executors)
+        chosen.push_back(&each);
+    // The records of executors with orders in flight are kept for the longest lease.
+    std::stable_sort(chosen.begin(), chosen.end(),
+                     [](const soak_executor *left, const soak_executor *right) {
+                         return left->endpoint->model().running().size()
+                             < right->endpoint->model().running().size();
+                     });
+    chosen.resize((chosen.size() + 1) / 2);
+    constexpr milliseconds pause{150};
+    constexpr milliseconds lateTime{3000};
+    for (std::size_t index = 0; index < chosen.size(); ++index)
+        schedule(pause * index,
+                 [this, executor = chosen[index],
+                  outage = registrationTerm + randomDuration(1000, 2000)] {
+                     cutOffUntilUnregistered(*executor, outage);
+                 });
+    schedule(registrationTerm, [this] { executeCommitsLateDuring(lateTime, "azurelb/executor/"); });
+    constexpr milliseconds submitTime{300};
+    const milliseconds settled = registrationTerm + lateTime + maxCommitDelay;
+    schedule(settled - submitTime, [this] {
+        for (int count = 0; count < 2; ++count)
+            submitLongJobsDuring(submitTime);
+    });
+    schedule(settled, [this, chosen] { cutOffAndEndOwner(withoutRecord(chosen), {}); });
+    m_cutOffUntil = boot_clock::now() + settled + registrationTerm;
+}
+
+/** Returns those of the executors whose records are missing in the store; the first if none is. The
+    records of others that are cut off would make the next owner wait. No executor that the owner
+   has used since it registered may be without one. */
+soak_scenario::executor_list soak_scenario::withoutRecord(const executor_list &executors)
+{
+    executor_list found;
+    for (soak_executor *const each : executors) {
+        if (m_store.state().find("azurelb/executor/" + each->id))
+            continue;
+        found.push_back(each);
+        if (!each->endpoint->model().running().empty())
+            m_audit.addViolation("an executor with runs has no record: " + each->id);
+    }
+    return found.empty() ? executor_list{executors.front()} : found;
+}
+
+/** Submits jobs without cancellations that take up all executors. */
+void soak_scenario::fillExecutors(milliseconds duration)
+{
+    constexpr std::uint32_t tasksPerJob{8};
+    const std::size_t jobs = m_executors.size() * executor_endpoint::maxRuns / tasksPerJob + 1;
+    for (std::size_t index = 0; index < jobs; ++index)
+        m_callers->submitJob(duration, tasksPerJob, false);
+}
+
+void soak_scenario::askForWaitingJobsDuring(milliseconds time)
+{
+    constexpr milliseconds interval{250};
+    for (milliseconds at = interval; at <= time; at += interval)
+        schedule(at, [this] { m_callers->askForWaitingJobs(); });
+}
+
+/** All executors are busy for some time, during which jobs arrive: few while commits are executed
+    late, many after that. Then the counts of waiting jobs stay the same until a run ends. */
+void soak_scenario::executeWaitingCountsLate()
+{
+    constexpr milliseconds busyTime{15'000};
+    constexpr milliseconds fewJobsFrom{2000};
+    constexpr milliseconds lateTime{2500};
+    constexpr unsigned fewJobs{5};
+    constexpr unsigned manyJobs{60};
+    const milliseconds manyJobsFrom = fewJobsFrom + lateTime + randomDuration(0, 500);
+    fillExecutors(busyTime);
+    const auto submitShortJob = [this] {
+        m_callers->submitJob(milliseconds{500}, 1, false);
+    };
+    for (unsigned index = 0; index < fewJobs; ++index)
+        schedule(fewJobsFrom + lateTime * index / fewJobs, submitShortJob);
+    schedule(fewJobsFrom, [this] { executeCommitsLateDuring(lateTime, "azurelb/waiting"); });
+    for (unsigned index = 0; index < manyJobs; ++index)
+        schedule(manyJobsFrom + milliseconds{10} * index, submitShortJob);
+    // Other faults may leave the fleet without an owner for longer than the bound.
+    if (!m_options.onlyFault.empty())
+        askForWaitingJobsDuring(busyTime);
+    m_cutOffUntil = boot_clock::now() + busyTime + registrationTerm;
+}
+
 std::string soak_scenario::logs()
 {
     std::ostringstream out;
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -119,6 +119,15 @@
     void registerExecutor(soak_executor &executor);
     /** Returns the daemon that holds the owner's key; nullptr if there is none. */
     [[nodiscard]] soak_daemon *findOwner();
+    /** Lets the store execute late some of the commits of the next time that change keys with the
+        prefix. */
+    void executeCommitsLateDuring(std::chrono::milliseconds time, const std::string &prefix);
+    /** The directory drops the entry of a silent executor; the executor is back after the outage.
+     */
+    void cutOffUntilUnregistered(soak_executor &executor, std::chrono::milliseconds outage);
+    [[nodiscard]] executor_list withoutRecord(const executor_list &executors);
+    void fillExecutors(std::chrono::milliseconds duration);
+    void askForWaitingJobsDuring(std::chrono::milliseconds time);
     void setProxy(soak_executor &executor, const std::string &fault);
     [[nodiscard]] soak_daemon &randomDaemon();
     [[nodiscard]] soak_executor &randomExecutor();
@@ -153,8 +162,11 @@
     void delayStoreReplies();
     void loseCommitReplies();
     void dropStoreHistory();
+    void executeCommitsLate();
+    void executeExecutorRecordsLate();
+    void executeWaitingCountsLate();
 
-    static const std::array<fault, 22> faultTypes;
+    static const std::array<fault, 25> faultTypes;
 
     soak_options m_options;
     boost::asio::io_context m_loop{};
--- a/test/soak/store_endpoint.cpp
+++ b/test/soak/store_endpoint.cpp
@@ -7,6 +7,8 @@
 #include <platform/base64.hpp>
 #include <platform/json_fields.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -198,9 +200,14 @@
     if (!in)
         co_return reply(http::status::bad_request, {});
     const keyspace_operations write = decodeWrite(*in);
+    ++m_commits;
+    if (isExecutedLate(write)) {
+        asio::co_spawn(m_loop, executeLater(write), asio::detached);
+        co_return co_await sleepFor(lostReplyDelay);
+    }
     const auto outcome = co_await awaitCallback<keyspace_commit>(
         m_loop, [&](auto done) { m_state.execute(write, std::move(done)); });
-    if (++m_commits % 10 < m_faults.lostRepliesPerTen)
+    if (m_commits % 10 < m_faults.lostRepliesPerTen)
         (void)co_await sleepFor(lostReplyDelay);
     if (outcome && outcome->error == keyspace_error::conflict)
         co_return reply(http::status::precondition_failed,
@@ -210,6 +217,27 @@
     co_return reply(http::status::ok, {{"Revision", outcome->revision}});
 }
 
+bool store_endpoint::isExecutedLate(const keyspace_operations &write)
+{
+    const auto matches = [this](const std::string &key) {
+        return key.starts_with(m_faults.lateKeyPrefix);
+    };
+    const bool isAffected = std::any_of(write.removals.begin(), write.removals.end(), matches)
+        || std::any_of(write.puts.begin(), write.puts.end(),
+                       [&matches](const keyspace_put &each) { return matches(each.key); });
+    return isAffected
+        && std::uniform_int_distribution<unsigned>{0, 9}(m_random) < m_faults.lateCommitsPerTen;
+}
+
+/** As the platform's store: a call without a response "may be executed seconds later if its
+    condition still holds". */
+asio::awaitable<void> store_endpoint::executeLater(keyspace_operations write)
+{
+    const milliseconds delay{std::uniform_int_distribution<int>{1000, 6000}(m_random)};
+    (void)co_await sleepFor(delay);
+    m_state.execute(write, [](keyspace_commit &&) {});
+}
+
 store_endpoint::answer store_endpoint::grant(const std::string &body)
 {
     const auto in = platform::parseObject(body);
--- a/test/soak/store_endpoint.hpp
+++ b/test/soak/store_endpoint.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <random>
 #include <string>
 
 namespace azurelb::soak {
@@ -24,6 +25,11 @@
     std::chrono::milliseconds delay{0};
     /** Number of commits out of ten that take effect although their reply is not sent in time. */
     unsigned lostRepliesPerTen{0};
+    /** Number of commits out of ten that get no reply and are executed 1 to 6 s later, if their
+        conditions hold then. */
+    unsigned lateCommitsPerTen{0};
+    /** Only commits that change keys with this prefix are executed late. */
+    std::string lateKeyPrefix{};
 };
 
 /** Simulates the platform's store and VM list over the published HTTP protocol. */
@@ -48,6 +54,8 @@
     answer read(const std::string &target);
     answer watch(const std::string &target);
     answer commit(const std::string &body);
+    [[nodiscard]] bool isExecutedLate(const keyspace_operations &write);
+    boost::asio::awaitable<void> executeLater(keyspace_operations write);
     answer grant(const std::string &body);
     answer renew(const std::string &target);
     answer sleepFor(std::chrono::milliseconds time);
@@ -57,6 +65,7 @@
     test::fake_keyspace m_state;
     store_faults m_faults{};
     unsigned m_commits{0};
+    std::minstd_rand m_random{1};
     std::map<store_lease_id, std::chrono::milliseconds> m_leaseTerms{};
     std::map<store_lease_id, boot_time> m_leaseEnds{};
     http_server m_server;
