A job counts as waiting until a step of it has been placed

Callers were told that no job waits while gangs waited for room.

Cause: placement assigns the members of a gang one by one and takes them back if one finds no room; the first assignment turned the job to running for good. So did a start order that the executor rejected.

Change: the state follows the placement of a step, of a gang as a whole. If start orders are rejected and nothing of the job may have begun, it is pending again.

--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -230,6 +230,7 @@
 
 void scheduler::applyReportedRun(executor_entry &executor, const reported_run &run, boot_time now)
 {
+    m_jobs.recordBegun(run.task.job);
     assignment *held = m_executors.find(executor.info.id, run.task);
     if (!held) {
         adoptRun(executor, run, now);
@@ -272,10 +273,12 @@
     if (task)
         ++task->former.starts;
     const bool wanted = job && task && !isFinal(job->state) && !task->done && !task->assigned;
-    if (wanted)
+    if (wanted) {
         m_jobs.assign(run.task, executor.info.id);
-    else
+        m_jobs.recordStart(*job);
+    } else {
         stopRun(executor, run.task, added, stop_reason::not_wanted, now);
+    }
 }
 
 void scheduler::reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -61,6 +61,8 @@
     job_record record{};
     job_state state{job_state::pending};
     bool cancelled{false};
+    /** A run of it may have begun. */
+    bool mayHaveBegun{false};
     /** Accepted before this owner took over: runs of an earlier owner may exist. */
     bool inherited{false};
     boot_time acceptedAt{};
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -48,6 +48,7 @@
     job.criticalPath = criticalPathLength(job.record.steps);
     job.shortWorkCoreMs = shortWorkCoreMs(job.record.steps);
     job.state = stored.state;
+    job.mayHaveBegun = stored.state != job_state::pending;
     if (isFinal(stored.state)) {
         job.endedAt = acceptedAt + (stored.endedAt - job.record.acceptedAt);
         return true;
@@ -258,11 +259,35 @@
         ++findStep(task)->assigned;
     }
     entry->executor = executor;
-    job_entry &job = *find(task.job);
-    if (job.state == job_state::pending) {
-        job.state = job_state::running;
-        markDirty(job);
+}
+
+void job_table::recordStart(job_entry &job)
+{
+    if (job.state != job_state::pending)
+        return;
+    job.state = job_state::running;
+    markDirty(job);
+}
+
+void job_table::recordBegun(const job_id &id)
+{
+    if (job_entry *const job = find(id))
+        job->mayHaveBegun = true;
+}
+
+void job_table::recordNotStarted(const job_id &id)
+{
+    job_entry *const job = find(id);
+    if (!job || job->state != job_state::running || job->mayHaveBegun)
+        return;
+    for (const occurrence_entry &occurrence : job->occurrences) {
+        for (const step_entry &step : occurrence.steps) {
+            if (step.assigned > 0)
+                return;
+        }
     }
+    job->state = job_state::pending;
+    markDirty(*job);
 }
 
 void job_table::release(const task_id &task, const std::string &checkpoint)
@@ -291,6 +316,7 @@
     task_entry *const task = find(end.task);
     if (!job || !task || isFinal(job->state) || task->done)
         return end_effect::none;
+    job->mayHaveBegun = true;
     const job_step &step = job->record.steps[end.task.step];
     if (end.end == run_end::done && !step.longRunning)
         return applyDone(*job, end.task, now);
--- a/src/azurelb/scheduling/job_table.hpp
+++ b/src/azurelb/scheduling/job_table.hpp
@@ -67,6 +67,15 @@
     /** Records that a run of the task may exist on the executor. */
     void assign(const task_id &task, const executor_id &executor);
 
+    /** The job no longer waits: start orders for its tasks are given, or a run is known. */
+    void recordStart(job_entry &job);
+
+    /** A run of the job may have begun. */
+    void recordBegun(const job_id &id);
+
+    /** A start order was not carried out: the job waits again if nothing of it has begun. */
+    void recordNotStarted(const job_id &id);
+
     /** Requeues the task, to resume from the checkpoint unless that is empty. */
     void release(const task_id &task, const std::string &checkpoint);
 
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -154,6 +154,7 @@
         if (!chosen)
             return;
         startOn(*chosen, step, index, ++m_lastRun, now);
+        recordStart(step, now);
         last = tasks[index].lastFailedOn.empty() ? chosen : nullptr;
     }
 }
@@ -186,6 +187,16 @@
             each->free = roomOn(*each->executor);
         return;
     }
+    recordStart(step, now);
+}
+
+void scheduler::recordStart(const waiting_step &step, boot_time now)
+{
+    const job_record &record = step.job->record;
+    if (step.job->state == job_state::pending)
+        m_notices.emplace_back(
+            job_started_notice{record.id, record.queue, now - step.occurrence->due});
+    m_jobs.recordStart(*step.job);
 }
 
 void scheduler::startOn(candidate &chosen, const waiting_step &step, std::uint32_t index,
@@ -255,9 +266,6 @@
     assignment held = makeAssignment(*step.job, record.steps[step.step], run);
     held.requestedAt = now;
     m_executors.assign(executor, task, std::move(held));
-    if (step.job->state == job_state::pending)
-        m_notices.emplace_back(
-            job_started_notice{record.id, record.queue, now - step.occurrence->due});
     m_jobs.assign(task, executor.info.id);
     const milliseconds leaseEnd = m_executors.leaseEnd(executor, now);
     m_executors.recordLease(executor, leaseEnd);
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -196,6 +196,8 @@
     if (entry && entry->executor == executor.info.id) {
         const assignment *const held = m_executors.find(executor.info.id, task);
         m_jobs.release(task, {});
+        if (reason != release_reason::not_started)
+            m_jobs.recordBegun(task.job);
         entry->former = {held ? held->run : entry->former.run, reason, entry->former.starts};
         if (held && reason != release_reason::ended && reason != release_reason::not_started
             && !entry->done && !isFinal(m_jobs.find(task.job)->state))
@@ -258,6 +260,7 @@
     if (!held || held->run != order.run)
         return;
     if (outcome == start_outcome::started || outcome == start_outcome::unknown) {
+        m_jobs.recordBegun(order.task.job);
         if (held->phase == assignment_phase::requested) {
             held->phase = outcome == start_outcome::started ? assignment_phase::running
                                                             : assignment_phase::unconfirmed;
@@ -274,6 +277,7 @@
                  && executor->info.startedUnixMs == order.startedUnixMs))
         executor->suspendedUntil = now + rejectionBackoff;
     dropAssignment(*executor, order.task, release_reason::not_started, now);
+    m_jobs.recordNotStarted(order.task.job);
 }
 
 void scheduler::recordAnswerOnOtherClock(const executor_id &id, boot_time now)
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -224,6 +224,8 @@
     void placeGang(const waiting_step &step, pool_candidates &pool, boot_time now);
     [[nodiscard]] candidate *chooseExecutor(const waiting_step &step, const task_entry &task,
                                             pool_candidates &pool, const team_entry *team) const;
+    /** Notes that a step of a job has been placed. */
+    void recordStart(const waiting_step &step, boot_time now);
     void startOn(candidate &chosen, const waiting_step &step, std::uint32_t index, run_number run,
                  boot_time now);
     void startRun(const waiting_step &step, std::uint32_t index, executor_entry &executor,
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -68,6 +68,9 @@
     CPPUNIT_TEST(runsOnUnresponsiveExecutorCountAsUnavailable);
     CPPUNIT_TEST(evictionOfStartingRunsRespectsMaxUnavailable);
     CPPUNIT_TEST(startsWholeGangOrNothing);
+    CPPUNIT_TEST(gangWithoutRoomIsPending);
+    CPPUNIT_TEST(gangWithoutRoomIsNotStoredAgainAndAgain);
+    CPPUNIT_TEST(jobWhoseStartIsRejectedIsPending);
     CPPUNIT_TEST(nothingStartsInEvacuatedZone);
     CPPUNIT_TEST(longRunsAreNotTakenForStalled);
     CPPUNIT_TEST(runsOfUnknownDurationEndInTheEnd);
@@ -443,6 +446,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, running());
     }
 
+    /** Guards against gangs that count as running while they wait for room (review case 10): the
+        members that found room were taken back, the state of the job was not. */
+    void gangWithoutRoomIsPending()
+    {
+        job_record gang = makeJob(jobA, 5, 8000);
+        gang.steps.front().gang = true;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{500});
+        CPPUNIT_ASSERT(m_simulation.stateOf(jobA) == job_state::pending);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             m_simulation.currentScheduler().jobs().countPendingJobs(gang.queue));
+    }
+
+    /** Each pass tries to place it. */
+    void gangWithoutRoomIsNotStoredAgainAndAgain()
+    {
+        job_record gang = makeJob(jobA, 5, 8000);
+        gang.steps.front().gang = true;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{500});
+        (void)m_simulation.currentScheduler().jobs().takeDirtyJobs();
+        m_simulation.currentScheduler().advance(m_simulation.now(), milliseconds{0},
+                                                m_simulation.now(), placement_mode::allowed);
+        CPPUNIT_ASSERT(m_simulation.currentScheduler().jobs().takeDirtyJobs().empty());
+    }
+
+    /** As long as no task of it has begun, it counts as waiting. */
+    void jobWhoseStartIsRejectedIsPending()
+    {
+        job_table jobs;
+        const job_record record = makeJob(jobA, 2);
+        jobs.add(record, {}, 0, false, m_simulation.now());
+        jobs.openDueOccurrences(m_simulation.now(), milliseconds{0});
+        job_entry &job = *jobs.find(jobA);
+        jobs.assign({jobA, 0, 0, 0}, "e1");
+        jobs.assign({jobA, 0, 0, 1}, "e1");
+        jobs.recordStart(job);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, jobs.countPendingJobs(record.queue));
+        jobs.release({jobA, 0, 0, 0}, {});
+        jobs.recordNotStarted(jobA);
+        CPPUNIT_ASSERT(job.state == job_state::running);
+        jobs.release({jobA, 0, 0, 1}, {});
+        jobs.recordNotStarted(jobA);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, jobs.countPendingJobs(record.queue));
+        jobs.recordStart(job);
+        jobs.recordBegun(jobA);
+        jobs.recordNotStarted(jobA);
+        CPPUNIT_ASSERT(job.state == job_state::running);
+    }
+
     void nothingStartsInEvacuatedZone()
     {
         m_simulation.currentScheduler().setEvacuatedZones({"zone"});
