Progress of large jobs lists done tasks as ranges

Accepted jobs had nothing running while executors were idle.

Cause: six overlapping occurrences of 9,996 tasks made the progress of one job larger than a value of the store may be. The refused write was repeated with that of all other jobs, so that no end was acknowledged any more.

Change: progress of over 256 KiB lists done tasks as ranges. Smaller progress keeps its form, which daemons of earlier versions read.

--- a/src/azurelb/jobs/job_codec.cpp
+++ b/src/azurelb/jobs/job_codec.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
+#include <utility>
 
 namespace azurelb {
 
@@ -16,6 +18,13 @@
 constexpr std::array allStates{job_state::pending, job_state::running, job_state::completed,
                                job_state::failed, job_state::cancelled};
 
+/** Progress of this size is encoded in a shorter form, since the store limits the size of a value
+    (1 MiB). Daemons of earlier versions read only the longer one, which smaller progress keeps. */
+constexpr std::size_t longestPlainProgress{262'144};
+/** Bounds on ranges of done tasks: a step has 2,000 tasks at most. */
+constexpr std::uint32_t maxTasksOfRange{2000};
+constexpr std::size_t maxDoneTasks{1'000'000};
+
 json::array encodeResources(const resources &amount)
 {
     return {amount.cpu, amount.memory, amount.accelerators};
@@ -107,6 +116,51 @@
             std::string{in.at(6).as_string()}};
 }
 
+/** Adds the tasks of a range [occurrence, step, first index, last index]. */
+void decodeDoneTasks(const json::value &value, std::vector<task_progress> &to)
+{
+    const json::array &in = value.as_array();
+    const auto occurrence = in.at(0).to_number<std::uint32_t>();
+    const auto step = in.at(1).to_number<std::uint32_t>();
+    const auto first = in.at(2).to_number<std::uint32_t>();
+    const auto last = in.at(3).to_number<std::uint32_t>();
+    if (last < first || last - first >= maxTasksOfRange
+        || to.size() + (last - first) >= maxDoneTasks)
+        throw std::out_of_range{"range of done tasks"};
+    for (std::uint32_t index = first; index <= last; ++index)
+        to.push_back({occurrence, step, index, true, {}, 0, {}});
+}
+
+json::array encodeTask(const task_progress &task)
+{
+    return {
+        task.occurrence,   task.step,      task.index, task.done, json::value_from(task.failedRuns),
+        task.lastEndedRun, task.checkpoint};
+}
+
+/** Splits off the done tasks, of which nothing else matters, as ranges. */
+void encodeTasksShort(const std::vector<task_progress> &tasks, json::object &out)
+{
+    json::array others;
+    json::array ranges;
+    const task_progress *previous = nullptr;
+    for (const task_progress &each : tasks) {
+        if (!each.done) {
+            others.push_back(encodeTask(each));
+            continue;
+        }
+        const bool continues = previous && previous->occurrence == each.occurrence
+            && previous->step == each.step && previous->index + 1 == each.index;
+        if (continues)
+            ranges.back().as_array().back() = each.index;
+        else
+            ranges.push_back(json::array{each.occurrence, each.step, each.index, each.index});
+        previous = &each;
+    }
+    out["tasks"] = std::move(others);
+    out["done_tasks"] = std::move(ranges);
+}
+
 job_record readJob(const json::object &in)
 {
     job_record job;
@@ -140,6 +194,10 @@
         for (const json::value &each : tasks->as_array())
             progress.tasks.push_back(decodeTask(each));
     }
+    if (const json::value *const ranges = in.if_contains("done_tasks")) {
+        for (const json::value &each : ranges->as_array())
+            decodeDoneTasks(each, progress.tasks);
+    }
     return progress;
 }
 
@@ -195,11 +253,13 @@
         out["completed_occurrences"] = json::value_from(progress.completedOccurrences);
     json::array tasks;
     for (const task_progress &each : progress.tasks)
-        tasks.push_back(json::array{each.occurrence, each.step, each.index, each.done,
-                                    json::value_from(each.failedRuns), each.lastEndedRun,
-                                    each.checkpoint});
+        tasks.push_back(encodeTask(each));
     if (!tasks.empty())
         out["tasks"] = std::move(tasks);
+    std::string plain = json::serialize(out);
+    if (plain.size() <= longestPlainProgress)
+        return plain;
+    encodeTasksShort(progress.tasks, out);
     return json::serialize(out);
 }
 
--- a/test/azurelb/jobs/codec_test.cpp
+++ b/test/azurelb/jobs/codec_test.cpp
@@ -47,6 +47,9 @@
     CPPUNIT_TEST(recordRoundTrips);
     CPPUNIT_TEST(progressRoundTrips);
     CPPUNIT_TEST(finalProgressHasOnlyTheState);
+    CPPUNIT_TEST(progressOfALargeJobFitsIntoAValue);
+    CPPUNIT_TEST(largeProgressRoundTrips);
+    CPPUNIT_TEST(rejectsUnboundedRangesOfDoneTasks);
     CPPUNIT_TEST(rejectsDamagedValues);
     CPPUNIT_TEST(taskIdRoundTrips);
     CPPUNIT_TEST(rejectsMalformedTaskIds);
@@ -86,6 +89,39 @@
                              encode(job_progress{job_state::completed, {}, {}}));
     }
 
+    /** Guards against a job that keeps the progress of all others from being stored: six
+       occurrences of 10,000 tasks overlap, and the store takes values of 1 MiB. */
+    void progressOfALargeJobFitsIntoAValue()
+    {
+        CPPUNIT_ASSERT(encode(largeProgress()).size() < 100'000);
+    }
+
+    void largeProgressRoundTrips()
+    {
+        const job_progress progress = largeProgress();
+        const auto read = decodeProgress(encode(progress));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(progress.tasks.size(), read->tasks.size());
+        std::size_t done = 0;
+        for (const task_progress &each : read->tasks) {
+            done += each.done ? 1 : 0;
+            CPPUNIT_ASSERT(each.done || each.index == openTask);
+            CPPUNIT_ASSERT(each.done || each.checkpoint == "point");
+            CPPUNIT_ASSERT(each.done || each.lastEndedRun == 7);
+        }
+        CPPUNIT_ASSERT_EQUAL(progress.tasks.size() - 6 * 5, done);
+    }
+
+    void rejectsUnboundedRangesOfDoneTasks()
+    {
+        CPPUNIT_ASSERT(!decodeProgress(R"({"state":"running","done_tasks":[[0,0,0,4294967295]]})"));
+        CPPUNIT_ASSERT(!decodeProgress(R"({"state":"running","done_tasks":[[0,0,5,4]]})"));
+        std::string many{R"({"state":"running","done_tasks":[)"};
+        for (int index = 0; index < 600; ++index)
+            many += "[0,0,0,1999],";
+        CPPUNIT_ASSERT(!decodeProgress(many + "[0,0,0,0]]}"));
+    }
+
     void rejectsDamagedValues()
     {
         for (const char *const each : {"", "[]", "{", R"({"steps":1})", R"({"steps":[{}]})"})
@@ -106,6 +142,26 @@
         for (const char *const each : {"", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.2.", "a.-1.2.3"})
             CPPUNIT_ASSERT(!parseTaskId(each));
     }
+
+private:
+    static constexpr std::uint32_t openTask{1000};
+
+    /** Six occurrences of five steps of 2,000 tasks, of which one in each step is not done. */
+    static job_progress largeProgress()
+    {
+        job_progress progress;
+        progress.state = job_state::running;
+        for (std::uint32_t occurrence = 0; occurrence < 6; ++occurrence) {
+            for (std::uint32_t step = 0; step < 5; ++step) {
+                for (std::uint32_t index = 0; index < 2000; ++index) {
+                    const bool done = index != openTask;
+                    progress.tasks.push_back(
+                        {occurrence, step, index, done, {}, 7, done ? "" : "point"});
+                }
+            }
+        }
+        return progress;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
