A VM that was emptied for maintenance keeps its place in the wave

In waves with short deadlines VMs were emptied one after the other and left unused; tasks that last found no place, and ordinary jobs did not run in the end.

Cause: a reserved VM counted against the wave's limit only while it had runs, so the next reservation took its place before it was maintained.

Change: reserved VMs count while they are empty too, and are maintained first, within the number of VMs that may be in maintenance.

--- a/src/azurelb/capacity/wave_planner.cpp
+++ b/src/azurelb/capacity/wave_planner.cpp
@@ -145,9 +145,20 @@
     const std::size_t parallelLimit = std::max<std::size_t>(wave.maxParallel, 1);
     interruption_plan interruptions{pending.busy};
     sortBusy(pending.busy, interruptions);
-    std::size_t occupied = progress.inMaintenance.size()
-        + static_cast<std::size_t>(std::count_if(pending.busy.begin(), pending.busy.end(),
-                                                 [](const vm_view *vm) { return vm->reserved; }));
+    const auto isReserved = [](const vm_view *vm) {
+        return vm->reserved;
+    };
+    // A reserved VM keeps its place once it is empty; otherwise the next reservation takes it.
+    const auto firstUnreserved =
+        std::stable_partition(pending.empty.begin(), pending.empty.end(), isReserved);
+    const auto vacated = static_cast<std::size_t>(firstUnreserved - pending.empty.begin());
+    std::size_t occupied = progress.inMaintenance.size() + vacated
+        + static_cast<std::size_t>(
+                               std::count_if(pending.busy.begin(), pending.busy.end(), isReserved));
+    for (auto each = pending.empty.begin(); each != firstUnreserved; ++each) {
+        if (progress.inMaintenance.size() + step.vmsToMaintain.size() < parallelLimit)
+            step.vmsToMaintain.push_back((*each)->vm);
+    }
     const auto reserve = [&](const vm_view &vm) {
         step.vmsToReserve.push_back(vm.vm);
         interruptions.reserve(vm);
@@ -169,10 +180,10 @@
         else if (occupied < parallelLimit && interruptions.canReserve(*each))
             reserve(*each);
     }
-    for (const vm_view *const each : pending.empty) {
+    for (auto each = firstUnreserved; each != pending.empty.end(); ++each) {
         if (occupied >= parallelLimit)
             return step;
-        step.vmsToMaintain.push_back(each->vm);
+        step.vmsToMaintain.push_back((*each)->vm);
         ++occupied;
     }
     const bool deadlineTight = isDeadlineTight(wave, pending.unfinished, now, options);
--- a/src/azurelb/capacity/wave_planner.hpp
+++ b/src/azurelb/capacity/wave_planner.hpp
@@ -37,7 +37,8 @@
 };
 
 /**
- * Plans the next step of a maintenance wave. Empty VMs go first. Busy VMs are reserved in time for
+ * Plans the next step of a maintenance wave. Empty VMs go first, before all those that were
+ * reserved until they are empty. Busy VMs are reserved in time for
  * the deadline, those with only long-running tasks before those with short ones.
  *
  * Expected load: steps of 24 long-running tasks of which one may be unavailable, half of them on
--- a/test/azurelb/capacity/capacity_test.cpp
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -347,6 +347,8 @@
     CPPUNIT_TEST(longChainsOfInterruptionsBeginAtOnce);
     CPPUNIT_TEST(longChainsBeginBeforeEmptyVms);
     CPPUNIT_TEST(vmsWithShortRunsAreReservedOnlyNearTheDeadline);
+    CPPUNIT_TEST(vacatedVmIsMaintainedBeforeTheNextIsReserved);
+    CPPUNIT_TEST(vacatedVmsDoNotExceedTheParallelLimit);
     CPPUNIT_TEST(isCompleteOnceAllAreFinishedOrGone);
     CPPUNIT_TEST(progressIsEncodedAndDecoded);
     CPPUNIT_TEST_SUITE_END();
@@ -430,6 +432,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, plan().vmsToReserve.size());
     }
 
+    /** Guards against VMs that are emptied one after the other and left unusable (review case 7):
+        past the deadline, the next reservation took the place of the VM that had become empty. */
+    void vacatedVmIsMaintainedBeforeTheNextIsReserved()
+    {
+        assignSteps({"job0"}, 26);
+        m_wave.maxParallel = 1;
+        m_now = m_wave.deadline + std::chrono::seconds{1};
+        m_vms[4].reserved = true;
+        m_vms[4].longRuns = 0;
+        m_vms[4].steps.clear();
+        const wave_step step = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, step.vmsToReserve.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, step.vmsToMaintain.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"m4"}, step.vmsToMaintain.front());
+    }
+
+    /** Waves share reserved VMs, so that there may be more of them than one wave permits. */
+    void vacatedVmsDoNotExceedTheParallelLimit()
+    {
+        m_wave.maxParallel = 2;
+        m_progress.inMaintenance = {"m9"};
+        for (std::size_t index = 3; index < 7; ++index)
+            m_vms[index].reserved = true;
+        const wave_step step = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, step.vmsToMaintain.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"m3"}, step.vmsToMaintain.front());
+    }
+
     void isCompleteOnceAllAreFinishedOrGone()
     {
         CPPUNIT_ASSERT(!plan().completed);
