Names in the writer and the soak; constants that clang's linter can capture

clang-tidy reads a lambda that uses a local constexpr duration as an error, g++ does not; the three durations of the late faults are constants of the file now. write_unit::isRemoval() names what three conditions spelled out.

--- a/src/azurelb/control/progress_writer.cpp
+++ b/src/azurelb/control/progress_writer.cpp
@@ -177,7 +177,7 @@
     for (const write_unit &each : chunk) {
         job_entry *const job = m_scheduler.jobs().find(each.job);
         // The identifier may have been used again during a removal.
-        if (job && !each.write.operations().puts.empty())
+        if (job && !each.isRemoval())
             job->storedRevision = outcome.revision;
         if (each.executor.empty())
             continue;
@@ -185,7 +185,7 @@
         executor_entry *const executor = m_scheduler.executors().find(each.executor);
         // The executor may have changed during the write, or registered again during a removal.
         if (executor)
-            executor->ownershipRecorded = !each.write.operations().puts.empty()
+            executor->ownershipRecorded = !each.isRemoval()
                 && each.write.operations().puts.front().value == encodeRegistration(executor->info);
     }
 }
@@ -196,7 +196,7 @@
 {
     for (const write_unit &each : chunk) {
         job_entry *const job = m_scheduler.jobs().find(each.job);
-        if (job && !each.write.operations().puts.empty()) {
+        if (job && !each.isRemoval()) {
             const std::string key = store_keys::jobProgress(each.job);
             const auto found =
                 std::find_if(outcome.current.begin(), outcome.current.end(),
@@ -207,9 +207,9 @@
         }
         if (!each.executor.empty()) {
             m_records.apply(each.write, outcome);
-            if (!each.write.operations().removals.empty())
+            if (each.isRemoval())
                 m_endedExecutors.insert(each.executor);
-        } else if (!each.write.operations().removals.empty()) {
+        } else if (each.isRemoval()) {
             requeueRemoval(each, outcome);
         }
     }
--- a/src/azurelb/control/progress_writer.hpp
+++ b/src/azurelb/control/progress_writer.hpp
@@ -61,6 +61,8 @@
         job_id job{};
         /** Executor whose record is written or removed; otherwise empty. */
         executor_id executor{};
+
+        [[nodiscard]] bool isRemoval() const noexcept { return write.operations().puts.empty(); }
     };
 
     void flush();
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -39,6 +39,12 @@
 constexpr milliseconds registrationTerm{4500};
 /** The latest moment at which a late commit is executed, counted from its arrival. */
 constexpr milliseconds maxCommitDelay{6000};
+/** Times in which commits are executed late in executeExecutorRecordsLate() and
+    executeWaitingCountsLate(). */
+constexpr milliseconds recordsLateTime{3000};
+constexpr milliseconds countsLateTime{2500};
+/** Long jobs are submitted during this time before executors without a record are cut off. */
+constexpr milliseconds longJobsTime{300};
 
 const char *const noFault{"{}"};
 const char *const cutAll{R"({"cut":"CUT_ALL"})"};
@@ -673,19 +679,18 @@
                      });
     chosen.resize((chosen.size() + 1) / 2);
     constexpr milliseconds pause{150};
-    constexpr milliseconds lateTime{3000};
     for (std::size_t index = 0; index < chosen.size(); ++index)
         schedule(pause * index,
                  [this, executor = chosen[index],
                   outage = registrationTerm + randomDuration(1000, 2000)] {
                      cutOffUntilUnregistered(*executor, outage);
                  });
-    schedule(registrationTerm, [this] { executeCommitsLateDuring(lateTime, "azurelb/executor/"); });
-    constexpr milliseconds submitTime{300};
-    const milliseconds settled = registrationTerm + lateTime + maxCommitDelay;
-    schedule(settled - submitTime, [this] {
+    schedule(registrationTerm,
+             [this] { executeCommitsLateDuring(recordsLateTime, "azurelb/executor/"); });
+    const milliseconds settled = registrationTerm + recordsLateTime + maxCommitDelay;
+    schedule(settled - longJobsTime, [this] {
         for (int count = 0; count < 2; ++count)
-            submitLongJobsDuring(submitTime);
+            submitLongJobsDuring(longJobsTime);
     });
     schedule(settled, [this, chosen] { cutOffAndEndOwner(withoutRecord(chosen), {}); });
     m_cutOffUntil = boot_clock::now() + settled + registrationTerm;
@@ -729,17 +734,16 @@
 {
     constexpr milliseconds busyTime{15'000};
     constexpr milliseconds fewJobsFrom{2000};
-    constexpr milliseconds lateTime{2500};
     constexpr unsigned fewJobs{5};
     constexpr unsigned manyJobs{60};
-    const milliseconds manyJobsFrom = fewJobsFrom + lateTime + randomDuration(0, 500);
+    const milliseconds manyJobsFrom = fewJobsFrom + countsLateTime + randomDuration(0, 500);
     fillExecutors(busyTime);
     const auto submitShortJob = [this] {
         m_callers->submitJob(milliseconds{500}, 1, false);
     };
     for (unsigned index = 0; index < fewJobs; ++index)
-        schedule(fewJobsFrom + lateTime * index / fewJobs, submitShortJob);
-    schedule(fewJobsFrom, [this] { executeCommitsLateDuring(lateTime, "azurelb/waiting"); });
+        schedule(fewJobsFrom + countsLateTime * index / fewJobs, submitShortJob);
+    schedule(fewJobsFrom, [this] { executeCommitsLateDuring(countsLateTime, "azurelb/waiting"); });
     for (unsigned index = 0; index < manyJobs; ++index)
         schedule(manyJobsFrom + milliseconds{10} * index, submitShortJob);
     // Other faults may leave the fleet without an owner for longer than the bound.
