A handover soon after an orderly one is recorded as orderly

Daemons that are stopped in turn would have made each next owner wait for the longest lease.

Change: the check applies only if the predecessor's handover was not orderly.

Test: owner_test handoverSoonAfterAnOrderlyOneIsOrderly failed before (open instead of closed) and passes now, with the three tests of handovers and late records beside it.

--- a/src/azurelb/control/owner_loading.cpp
+++ b/src/azurelb/control/owner_loading.cpp
@@ -160,7 +160,7 @@
 {
     m_handedOver = true;
     // The handover is orderly only if no leases of a lost predecessor may be in force.
-    if (!m_scheduling || mayHavePredecessorsLeases()) {
+    if (!m_orderlyHandover && (!m_scheduling || mayHavePredecessorsLeases())) {
         boost::asio::post(m_services.loop, std::move(done));
         return;
     }
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -227,6 +227,7 @@
     CPPUNIT_TEST(ownerBecomesActiveBehindItsOwnLateYield);
     CPPUNIT_TEST(handoverBeforeTheFirstOrderKeepsWhatThePredecessorRecorded);
     CPPUNIT_TEST(handoverBesideAnUnreachableExecutorIsNotOrderly);
+    CPPUNIT_TEST(handoverSoonAfterAnOrderlyOneIsOrderly);
     CPPUNIT_TEST(damagedEntryOfACandidateIsIgnored);
     CPPUNIT_TEST(recordWithoutAnAddressNamesNoExecutor);
     CPPUNIT_TEST(firstStartIsLoggedWithItsIncarnationAndLease);
@@ -883,6 +884,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"open"}, lastOwner());
     }
 
+    /** The leases of the predecessor end within one term of its handover. If daemons are stopped in
+        turn, each owner would otherwise make the next one wait for the longest lease. */
+    void handoverSoonAfterAnOrderlyOneIsOrderly()
+    {
+        m_store.put(std::string{store_keys::lastOwner}, "closed");
+        recordLostExecutor(milliseconds{20'000});
+        m_vms.vms.clear();
+        startOwner();
+        run(milliseconds{300});
+        m_owner->handOver([] {});
+        run(milliseconds{50});
+        CPPUNIT_ASSERT_EQUAL(std::string{"closed"}, lastOwner());
+    }
+
     void damagedEntryOfACandidateIsIgnored()
     {
         int number = 0;
