Soak: executors that the directory has dropped are listed again when the faults end

Found while the diff was read: clearFaults() cancels the timers that end faults, so that an executor which late-records had cut off stayed out of the directory during the recovery, if the faults ended between its removal and its return. The check became no weaker by it; the recovery had fewer executors than meant.

--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -261,7 +261,8 @@
     }
     for (soak_executor &each : m_executors) {
         setProxy(each, noFault);
-        if (each.hasUnnamedEntry)
+        const bool isListed = m_store.state().find("servers/" + each.id) != nullptr;
+        if (each.hasUnnamedEntry || !isListed)
             registerExecutor(each);
     }
     restartEndedDaemons();
