--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -25,10 +26,20 @@
 constexpr milliseconds registrationTerm{4500};
 constexpr milliseconds gangWait{4000};
 
+/** A free port below the range from which the system takes the ports of outgoing connections. */
 std::string freeAddress(asio::io_context &loop)
 {
-    tcp::acceptor probe{loop, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<unsigned> ports{20'000, 31'999};
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(ports(random));
+        boost::system::error_code failure;
+        tcp::acceptor probe{loop};
+        probe.open(tcp::v4(), failure);
+        probe.bind({asio::ip::address_v4::loopback(), port}, failure);
+        if (!failure)
+            return "127.0.0.1:" + std::to_string(port);
+    }
 }
 
 std::string jobOf(const std::string &task)
