Add review case 15: a job is accepted after its cancelling was answered 410

A client submits a job at a frozen daemon and cancels it at another one, which answers 410. When the first one wakes up it accepts the job, which runs from beginning to end; steps start over cancel_ms after the 410 (UNASKED).

Cause as far as known: job_intake::submit() heeds the entry that the DELETE leaves in the store only if an earlier write of the same call may have been executed.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -12,6 +12,7 @@
 {
     using namespace review;
     const std::map<std::string, case_run> cases{
+        {"cancelled-before-frozen-submission", &cancelledBeforeFrozenSubmission},
         {"overdue-occurrences", &overdueOccurrences},
         {"gang-without-room", &gangWithoutRoom},
         {"gang-after-crash", &gangAfterCrash},
