--- a/review/standin-3/gang_without_room.cpp
+++ b/review/standin-3/gang_without_room.cpp
@@ -10,6 +10,7 @@
 constexpr milliseconds finishTime{14'000};
 /** A job must not have nothing running for so long while there is room. */
 constexpr milliseconds lostTime{3000};
+constexpr int othersOfQueue{20};
 
 std::string jobId(const char *prefix, int number)
 {
@@ -59,6 +60,10 @@
     for (int number = 1; in.now() < begun + trafficTime; ++number) {
         if (in.now() >= begun + milliseconds{2000} && !handedIn) {
             handedIn = true;
+            // The gang is one of 21 jobs of its own queue.
+            for (int each = 1; each <= othersOfQueue; ++each)
+                co_await in.submit("edge-1", "festivals", jobId("cccccccccccc", each), smallJob(),
+                                   callTime);
             const std::string gang = jobId("aaaaaaaaaaaa", 1);
             const answer got =
                 co_await in.submit("edge-1", "festivals", gang, wideGang(!trouble), callTime);
