Reserve the ports of the review's daemons while a script runs

Eight runs of case 12 at the same time gave 2 once, as a daemon was not ready in 15 s: the scripts chose from 12,000 ports without holding them, so two could choose the same one. A port now stays bound, in a way that lets the daemon listen on it.

--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -26,19 +26,25 @@
 constexpr milliseconds registrationTerm{4500};
 constexpr milliseconds gangWait{4000};
 
-/** A free port below the range from which the system takes the ports of outgoing connections. */
-std::string freeAddress(asio::io_context &loop)
+/** A free port below the range from which the system takes the ports of outgoing connections. It
+    stays reserved: a daemon, which allows the reuse of addresses, can still listen on it, and
+    another script that runs at the same time can't choose it. */
+std::string reserveAddress(asio::io_context &loop)
 {
     static std::mt19937 random{std::random_device{}()};
+    static auto &reserved = *new std::vector<std::unique_ptr<tcp::acceptor>>;
     std::uniform_int_distribution<unsigned> ports{20'000, 31'999};
     while (true) {
         const auto port = static_cast<std::uint16_t>(ports(random));
         boost::system::error_code failure;
-        tcp::acceptor probe{loop};
-        probe.open(tcp::v4(), failure);
-        probe.bind({asio::ip::address_v4::loopback(), port}, failure);
-        if (!failure)
-            return "127.0.0.1:" + std::to_string(port);
+        auto probe = std::make_unique<tcp::acceptor>(loop);
+        probe->open(tcp::v4(), failure);
+        probe->bind({asio::ip::address_v4::loopback(), port}, failure);
+        if (failure)
+            continue;
+        probe->set_option(tcp::acceptor::reuse_address{true});
+        reserved.push_back(std::move(probe));
+        return "127.0.0.1:" + std::to_string(port);
     }
 }
 
@@ -242,12 +248,12 @@
     daemon &to = m_daemons[name];
     const std::string flags = m_folder + "/" + name + ".flags";
     if (to.front.empty()) {
-        to.front = freeAddress(m_loop);
-        to.ready = freeAddress(m_loop);
+        to.front = reserveAddress(m_loop);
+        to.ready = reserveAddress(m_loop);
         std::ofstream out{flags};
         // The fields of platform/node.flags; bounds of the cantoria-grown site.
         out << "--vm_id=" << name << "\n--zone=zone-a\n--listen=" << to.front
-            << "\n--readiness_listen=" << to.ready << "\n--relay_listen=" << freeAddress(m_loop)
+            << "\n--readiness_listen=" << to.ready << "\n--relay_listen=" << reserveAddress(m_loop)
             << "\n--metrics_ip=127.0.0.1\n--metrics_port=0\n--store_endpoint=" << m_store.address()
             << "\n--vm_service_endpoint=" << m_machineService.address()
             << "\n--processors=0.25\n--shutdown_grace_s=6\n--max_lease_ms=6000"
