A VM that an older list lacks is not taken for one that has left

Cause: the wave planner took a VM that is missing in the platform's list for one that has left the fleet. The list is read every 1.5 s and shows a state of up to 1 s before; the VM had been added after that reading. A lost or refused order was ruled out: the planner test breaks without any order.

Seen to fail on: owner_test::waveIncludesAVmThatTheListDoesNotShowYet (expected open, was done). The unit test of the planner uses the new type. Cost: a wave that names only VMs that have left is completed up to 2.5 s later (bound by the interval of the list and its greatest age).

--- a/src/azurelb/capacity/wave_planner.cpp
+++ b/src/azurelb/capacity/wave_planner.cpp
@@ -101,21 +101,21 @@
 };
 
 pending_vms findPending(const wave_entry &wave, const wave_progress &progress,
-                        const std::vector<vm_view> &vms)
+                        const fleet_snapshot &fleet)
 {
     std::unordered_map<std::string_view, const vm_view *> byName;
-    byName.reserve(vms.size());
-    for (const vm_view &each : vms)
+    byName.reserve(fleet.vms.size());
+    for (const vm_view &each : fleet.vms)
         byName.emplace(each.vm, &each);
     pending_vms pending;
     for (const std::string &name : wave.vms) {
         const auto found = byName.find(name);
         const vm_view *const vm = found == byName.end() ? nullptr : found->second;
-        // A VM that is no longer listed needs no maintenance.
-        if (!vm || progress.finished.contains(name))
+        const bool hasLeft = !vm && fleet.shows(wave.knownAt);
+        if (hasLeft || progress.finished.contains(name))
             continue;
         ++pending.unfinished;
-        if (progress.inMaintenance.contains(name) || !vm->up || vm->hasPendingOrder)
+        if (!vm || progress.inMaintenance.contains(name) || !vm->up || vm->hasPendingOrder)
             continue;
         (vm->isEmpty() ? pending.empty : pending.busy).push_back(vm);
     }
@@ -137,9 +137,9 @@
 } // namespace
 
 wave_step planWave(const wave_entry &wave, const wave_progress &progress,
-                   const std::vector<vm_view> &vms, boot_time now, const wave_options &options)
+                   const fleet_snapshot &fleet, boot_time now, const wave_options &options)
 {
-    pending_vms pending = findPending(wave, progress, vms);
+    pending_vms pending = findPending(wave, progress, fleet);
     wave_step step;
     step.completed = pending.unfinished == 0;
     const std::size_t parallelLimit = std::max<std::size_t>(wave.maxParallel, 1);
--- a/src/azurelb/capacity/wave_planner.hpp
+++ b/src/azurelb/capacity/wave_planner.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <azurelb/capacity/fleet_snapshot.hpp>
 #include <azurelb/capacity/fwd.hpp>
-#include <azurelb/capacity/vm_view.hpp>
 #include <azurelb/capacity/wave_progress.hpp>
 #include <azurelb/catalogue/wave_entry.hpp>
 #include <azurelb/core/boot_clock.hpp>
@@ -46,9 +46,12 @@
  * interruptions are therefore reserved first, and even before empty VMs are used if the
  * interruptions take over half of the time left. A step has at most one reserved VM more than its
  * limit of unavailable tasks.
+ *
+ * A VM that the snapshot lacks needs no maintenance if the snapshot is as recent as the wave: it
+ * has left the fleet. Otherwise it may have been added since, and the wave stays open.
  */
 [[nodiscard]] wave_step planWave(const wave_entry &wave, const wave_progress &progress,
-                                 const std::vector<vm_view> &vms, boot_time now,
+                                 const fleet_snapshot &fleet, boot_time now,
                                  const wave_options &options);
 
 } // namespace azurelb
--- a/src/azurelb/catalogue/wave_entry.hpp
+++ b/src/azurelb/catalogue/wave_entry.hpp
@@ -16,6 +16,8 @@
     /** Maximum number of VMs in maintenance at a time. */
     std::uint32_t maxParallel{1};
     boot_time deadline{};
+    /** When this daemon learned of the request, which the operators made earlier. */
+    boot_time knownAt{};
     /** The maintenance of all its VMs has been done. */
     bool completed{false};
 };
--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -88,8 +88,10 @@
     m_pools = desired.config.pools;
     m_evacuatedZones = desired.evacuatedZones;
     for (const wave_entry &each : desired.waves) {
-        if (!m_waves.try_emplace(each.number, each).second)
+        const auto [place, isNew] = m_waves.try_emplace(each.number, each);
+        if (!isNew)
             continue;
+        place->second.knownAt = boot_clock::now();
         if (m_startedAt == boot_time{})
             m_inheritedWaves.insert(each.number);
         m_unreported.insert(each.number);
@@ -175,6 +177,7 @@
         return;
     }
     m_vms = std::move(listing.vms);
+    m_vmsShownAt = m_listAskedAt - maxListAge;
     std::sort(m_vms.begin(), m_vms.end(),
               [](const vm_entry &left, const vm_entry &right) { return left.vm < right.vm; });
     for (const vm_entry &each : m_vms)
@@ -231,8 +234,8 @@
         order.wave == 0 ? m_options.moveTime : m_options.waves.maintenanceTime;
     // An order without an answer may be carried out late, and the list may be older than its
     // answer.
-    const boot_time shownAt = m_listAskedAt - maxListAge;
-    const bool expired = vm.state == vm_state::up && shownAt - order.orderedAt > usual + settleTime;
+    const bool expired =
+        vm.state == vm_state::up && m_vmsShownAt - order.orderedAt > usual + settleTime;
     if (!(changed && order.answered) && !expired)
         return;
     if (order.wave != 0) {
@@ -328,17 +331,17 @@
                                      [](const auto &each) { return !each.second.completed; });
     if (now - m_startedAt >= m_options.vmLease && (hasWave || !m_unreported.empty())) {
         markMaintenanceDue();
-        planWaves(makeViews(), now);
+        planWaves({makeViews(), m_vmsShownAt}, now);
     }
     planPools(makeViews(), now);
 }
 
-void vm_manager::planWaves(const std::vector<vm_view> &vms, boot_time now)
+void vm_manager::planWaves(const fleet_snapshot &fleet, boot_time now)
 {
     for (auto &[number, wave] : m_waves) {
         if (wave.completed)
             continue;
-        const wave_step step = planWave(wave, m_progress[number], vms, now, m_options.waves);
+        const wave_step step = planWave(wave, m_progress[number], fleet, now, m_options.waves);
         for (const std::string &each : step.vmsToReserve)
             reserve(each, true);
         for (const std::string &each : step.vmsToMaintain)
@@ -349,7 +352,7 @@
             logEvent(event::wave_completed, {{"wave", number}});
         }
     }
-    vacateReserved(vms, now);
+    vacateReserved(fleet.vms, now);
     for (const std::int64_t number : std::exchange(m_unreported, {}))
         m_onWave(m_waves.at(number), m_progress[number]);
 }
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -115,7 +115,7 @@
     void endReplacedExecutors(boot_time now);
     [[nodiscard]] bool isOlderThanList(const executor_entry &executor) const;
     void plan();
-    void planWaves(const std::vector<vm_view> &vms, boot_time now);
+    void planWaves(const fleet_snapshot &fleet, boot_time now);
     void vacateReserved(const std::vector<vm_view> &vms, boot_time now);
     /** Marks the executors whose VM still awaits maintenance in a wave. The steps that they run are
         known to the plan only then. */
@@ -148,6 +148,8 @@
     bool m_listFailed{false};
     /** Last list of the platform, sorted by VM name. */
     std::vector<vm_entry> m_vms{};
+    /** That list shows the VMs as they were at this time or later. */
+    boot_time m_vmsShownAt{};
     std::unordered_map<std::string, pending_order> m_orders{};
     std::map<std::int64_t, wave_entry> m_waves{};
     std::map<std::int64_t, wave_progress> m_progress{};
--- a/test/azurelb/capacity/capacity_test.cpp
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -350,6 +350,7 @@
     CPPUNIT_TEST(vacatedVmIsMaintainedBeforeTheNextIsReserved);
     CPPUNIT_TEST(vacatedVmsDoNotExceedTheParallelLimit);
     CPPUNIT_TEST(isCompleteOnceAllAreFinishedOrGone);
+    CPPUNIT_TEST(vmThatIsMissingInAnOlderListIsUnfinished);
     CPPUNIT_TEST(progressIsEncodedAndDecoded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -357,16 +358,18 @@
     void setUp() override
     {
         for (int index = 0; index < 10; ++index) {
-            m_vms.push_back(idleVm("m" + std::to_string(index), "a", boot_time{}));
-            m_wave.vms.push_back(m_vms.back().vm);
+            m_fleet.vms.push_back(idleVm("m" + std::to_string(index), "a", boot_time{}));
+            m_wave.vms.push_back(m_fleet.vms.back().vm);
         }
         m_wave.maxParallel = 3;
         m_wave.deadline = m_now + std::chrono::seconds{60};
+        m_wave.knownAt = m_now;
+        m_fleet.shownAt = m_now;
     }
 
     void emptyVmsGoFirstUpToTheParallelLimit()
     {
-        m_vms[0].longRuns = 1;
+        m_fleet.vms[0].longRuns = 1;
         m_progress.inMaintenance = {"m9"};
         const wave_step step = plan();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, step.vmsToMaintain.size());
@@ -375,7 +378,7 @@
 
     void busyVmsAreReservedInTimeForTheDeadline()
     {
-        for (vm_view &each : m_vms)
+        for (vm_view &each : m_fleet.vms)
             each.longRuns = 1;
         const std::size_t early = plan().vmsToReserve.size();
         m_now = m_wave.deadline - std::chrono::seconds{5};
@@ -403,7 +406,7 @@
         assignSteps({"job0", "job1"}, 26);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan().vmsToReserve.size());
         // Short runs do not delay them either.
-        for (vm_view &each : m_vms)
+        for (vm_view &each : m_fleet.vms)
             each.shortRuns = 3;
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan().vmsToReserve.size());
     }
@@ -413,9 +416,9 @@
     void longChainsBeginBeforeEmptyVms()
     {
         assignSteps({"job0"}, 26);
-        for (std::size_t index = 7; index < m_vms.size(); ++index) {
-            m_vms[index].longRuns = 0;
-            m_vms[index].steps.clear();
+        for (std::size_t index = 7; index < m_fleet.vms.size(); ++index) {
+            m_fleet.vms[index].longRuns = 0;
+            m_fleet.vms[index].steps.clear();
         }
         m_wave.maxParallel = 3;
         const wave_step step = plan();
@@ -425,7 +428,7 @@
 
     void vmsWithShortRunsAreReservedOnlyNearTheDeadline()
     {
-        for (vm_view &each : m_vms)
+        for (vm_view &each : m_fleet.vms)
             each.shortRuns = 1;
         CPPUNIT_ASSERT(plan().vmsToReserve.empty());
         m_now = m_wave.deadline - std::chrono::seconds{10};
@@ -439,9 +442,9 @@
         assignSteps({"job0"}, 26);
         m_wave.maxParallel = 1;
         m_now = m_wave.deadline + std::chrono::seconds{1};
-        m_vms[4].reserved = true;
-        m_vms[4].longRuns = 0;
-        m_vms[4].steps.clear();
+        m_fleet.vms[4].reserved = true;
+        m_fleet.vms[4].longRuns = 0;
+        m_fleet.vms[4].steps.clear();
         const wave_step step = plan();
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, step.vmsToReserve.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, step.vmsToMaintain.size());
@@ -454,7 +457,7 @@
         m_wave.maxParallel = 2;
         m_progress.inMaintenance = {"m9"};
         for (std::size_t index = 3; index < 7; ++index)
-            m_vms[index].reserved = true;
+            m_fleet.vms[index].reserved = true;
         const wave_step step = plan();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, step.vmsToMaintain.size());
         CPPUNIT_ASSERT_EQUAL(std::string{"m3"}, step.vmsToMaintain.front());
@@ -466,7 +469,19 @@
         for (int index = 0; index < 9; ++index)
             m_progress.finished.insert("m" + std::to_string(index));
         CPPUNIT_ASSERT(!plan().completed);
-        m_vms.pop_back();
+        m_fleet.vms.pop_back();
+        CPPUNIT_ASSERT(plan().completed);
+    }
+
+    /** Guards against a wave that is completed without the maintenance of a VM that was added
+        after the list had been read (review case 14). */
+    void vmThatIsMissingInAnOlderListIsUnfinished()
+    {
+        m_wave.vms = {"added"};
+        m_fleet.shownAt = m_wave.knownAt - milliseconds{1};
+        CPPUNIT_ASSERT(!plan().completed);
+        CPPUNIT_ASSERT(plan().vmsToMaintain.empty());
+        m_fleet.shownAt = m_wave.knownAt;
         CPPUNIT_ASSERT(plan().completed);
     }
 
@@ -485,20 +500,23 @@
     /** Gives each of the ten VMs one task; the jobs get equal consecutive blocks of VMs. */
     void assignSteps(const std::vector<std::string> &jobs, int seconds)
     {
-        const std::size_t share = m_vms.size() / jobs.size();
-        for (std::size_t index = 0; index < m_vms.size(); ++index) {
-            m_vms[index].longRuns = 1;
-            m_vms[index].steps = {{{jobs[index / share], 0, 0, 0}, 1}};
+        const std::size_t share = m_fleet.vms.size() / jobs.size();
+        for (std::size_t index = 0; index < m_fleet.vms.size(); ++index) {
+            m_fleet.vms[index].longRuns = 1;
+            m_fleet.vms[index].steps = {{{jobs[index / share], 0, 0, 0}, 1}};
         }
         m_wave.maxParallel = 10;
         m_wave.deadline = m_now + std::chrono::seconds{seconds};
     }
 
-    [[nodiscard]] wave_step plan() const { return planWave(m_wave, m_progress, m_vms, m_now, {}); }
+    [[nodiscard]] wave_step plan() const
+    {
+        return planWave(m_wave, m_progress, m_fleet, m_now, {});
+    }
 
     wave_entry m_wave{};
     wave_progress m_progress{};
-    std::vector<vm_view> m_vms{};
+    fleet_snapshot m_fleet{};
     boot_time m_now{std::chrono::seconds{10}};
 };
 
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -197,6 +197,8 @@
     CPPUNIT_TEST(orderIsNotGivenUpByAListThatMayBeOlder);
     CPPUNIT_TEST(deadlineOfAWaveSurvivesATakeover);
     CPPUNIT_TEST(newExecutorIsNoProofOfMaintenance);
+    CPPUNIT_TEST(waveIncludesAVmThatTheListDoesNotShowYet);
+    CPPUNIT_TEST(waveIsCompletedWithoutAVmThatHasLeft);
     CPPUNIT_TEST(maintenanceInTheListIsProofOfIt);
     CPPUNIT_TEST(repeatedMaintenanceOrderEndsNoExecutor);
     CPPUNIT_TEST(withholdsAMaintenanceOrderOfAnEndedOwner);
@@ -557,6 +559,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
     }
 
+    /** Guards against a wave that is shown as completed without the maintenance of a VM that was
+        added just before: the last list was read earlier (review case 14). */
+    void waveIncludesAVmThatTheListDoesNotShowYet()
+    {
+        m_vms.answersMaintenance = true;
+        startFleetOfOneVm();
+        requestWave({"added"});
+        run(milliseconds{800});
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, m_store.find(waveStateKey)->value);
+        m_vms.vms.push_back({"added", "pool", vm_state::up, "zone", {8000, 8000, 0}, "e2"});
+        registerExecutor("e2", "added");
+        run(milliseconds{2200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"added"}, m_vms.maintained.front());
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+    }
+
+    /** Guards against a wave that stays open for a VM that has been removed. */
+    void waveIsCompletedWithoutAVmThatHasLeft()
+    {
+        startFleetOfOneVm();
+        requestWave({"removed"});
+        run(milliseconds{3000});
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+        CPPUNIT_ASSERT(m_vms.maintained.empty());
+    }
+
     /** The answer is lost, and the list shows that the order was carried out. */
     void maintenanceInTheListIsProofOfIt()
     {
@@ -1294,19 +1323,30 @@
     /** Starts an owner whose only VM is due for maintenance in a wave, and gives it time to
        order that. */
     void startWave()
+    {
+        requestWave({"vm0"});
+        startFleetOfOneVm();
+    }
+
+    /** Starts an owner of one VM without jobs, and waits until it may order maintenance. */
+    void startFleetOfOneVm()
+    {
+        m_store.remove(store_keys::jobRecord(firstJob));
+        m_vms.vms = {{"vm0", "pool", vm_state::up, "zone", {8000, 8000, 0}, executorName}};
+        startOwner();
+        registerExecutor(executorName, "vm0");
+        run(milliseconds{3400});
+    }
+
+    void requestWave(std::vector<std::string> vms)
     {
         wave_entry wave;
         wave.number = 3;
-        wave.vms = {"vm0"};
+        wave.vms = std::move(vms);
         wave.deadline = boot_clock::now() + milliseconds{27'000};
         desired_state desired;
         desired.waves = {wave};
-        m_store.remove(store_keys::jobRecord(firstJob));
-        m_vms.vms = {{"vm0", "pool", vm_state::up, "zone", {8000, 8000, 0}, executorName}};
         m_owner->apply(desired);
-        startOwner();
-        registerExecutor(executorName, "vm0");
-        run(milliseconds{3400});
     }
 
     void registerExecutor(const std::string &id = executorName, const std::string &vm = "",
