A job has a bounded number of open occurrences

Cause: job_table opened all due occurrences in one event and searched the list of open ones from its beginning for each. The owner lost its lease in the store meanwhile (1.5 s), and so did each successor.

At most 1,000 occurrences and 10,000 tasks of a job are now open, at least one occurrence; the others open as these end. Occurrences are sorted and found by binary search, completed ones are removed, their numbers are kept and stored as ranges (number_set).

Seen to fail on: scheduler_test::overdueOccurrencesAreOpenedAFewAtATime (expected 1000, was 100000) and eachOverdueOccurrenceRunsOnce (more than 1,000 open); number_set is new.

--- a/src/azurelb/jobs/fwd.hpp
+++ b/src/azurelb/jobs/fwd.hpp
@@ -13,6 +13,7 @@
 struct job_step;
 struct task_id;
 struct task_progress;
+class number_set;
 
 /** Identifier of a job, chosen by the caller. */
 using job_id = std::string;
--- a/src/azurelb/jobs/job_codec.cpp
+++ b/src/azurelb/jobs/job_codec.cpp
@@ -21,6 +21,8 @@
 /** Progress of this size is encoded in a shorter form, since the store limits the size of a value
     (1 MiB). Daemons of earlier versions read only the longer one, which smaller progress keeps. */
 constexpr std::size_t longestPlainProgress{262'144};
+/** Up to this number, completed occurrences are listed in the form that earlier versions read. */
+constexpr std::uint64_t maxListedOccurrences{1000};
 /** Bounds on ranges of done tasks: a step has 2,000 tasks at most. */
 constexpr std::uint32_t maxTasksOfRange{2000};
 constexpr std::size_t maxDoneTasks{1'000'000};
@@ -138,6 +140,20 @@
         task.lastEndedRun, task.checkpoint};
 }
 
+/** Lists the completed occurrences one by one or, if there are many, as ranges. */
+void encodeCompleted(const number_set &completed, json::object &out)
+{
+    const bool asRanges = completed.size() > maxListedOccurrences;
+    json::array listed;
+    for (const number_set::range &each : completed.ranges()) {
+        if (asRanges)
+            listed.push_back(json::array{each.first, each.last});
+        for (std::uint64_t number = each.first; !asRanges && number <= each.last; ++number)
+            listed.push_back(json::value(number));
+    }
+    out[asRanges ? "completed_ranges" : "completed_occurrences"] = std::move(listed);
+}
+
 /** Splits off the done tasks, of which nothing else matters, as ranges. */
 void encodeTasksShort(const std::vector<task_progress> &tasks, json::object &out)
 {
@@ -188,8 +204,14 @@
     job_progress progress;
     progress.state = found == allStates.end() ? job_state::pending : *found;
     progress.endedAt = std::chrono::milliseconds{numberOr(in, "ended_ms", 0)};
-    if (const json::value *const completed = in.if_contains("completed_occurrences"))
-        progress.completedOccurrences = json::value_to<std::vector<std::uint32_t>>(*completed);
+    if (const json::value *const completed = in.if_contains("completed_occurrences")) {
+        for (const auto each : json::value_to<std::vector<std::uint32_t>>(*completed))
+            progress.completedOccurrences.insert(each);
+    }
+    if (const json::value *const ranges = in.if_contains("completed_ranges")) {
+        for (const auto &each : json::value_to<std::vector<std::array<std::uint32_t, 2>>>(*ranges))
+            progress.completedOccurrences.insert(each[0], each[1]);
+    }
     if (const json::value *const tasks = in.if_contains("tasks")) {
         for (const json::value &each : tasks->as_array())
             progress.tasks.push_back(decodeTask(each));
@@ -250,7 +272,7 @@
     if (progress.endedAt.count() != 0)
         out["ended_ms"] = progress.endedAt.count();
     if (!progress.completedOccurrences.empty())
-        out["completed_occurrences"] = json::value_from(progress.completedOccurrences);
+        encodeCompleted(progress.completedOccurrences, out);
     json::array tasks;
     for (const task_progress &each : progress.tasks)
         tasks.push_back(encodeTask(each));
--- a/src/azurelb/jobs/job_progress.hpp
+++ b/src/azurelb/jobs/job_progress.hpp
@@ -2,6 +2,7 @@
 
 #include <azurelb/jobs/fwd.hpp>
 #include <azurelb/jobs/job_state.hpp>
+#include <azurelb/jobs/number_set.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -31,7 +32,7 @@
 {
     job_state state{job_state::pending};
     /** Occurrences whose tasks are all done; these tasks are not listed. */
-    std::vector<std::uint32_t> completedOccurrences{};
+    number_set completedOccurrences{};
     std::vector<task_progress> tasks{};
     /** When the job ended, in Unix time; 0 if it has not, or if an earlier version stored it. */
     std::chrono::milliseconds endedAt{0};
--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -205,7 +205,8 @@
     if (isFinal(job->state))
         return "job-over";
     const task_entry *const entry = m_jobs.find(task);
-    return entry && entry->done ? "task-done" : "older-run";
+    const bool isDone = entry ? entry->done : job->completedOccurrences.contains(task.occurrence);
+    return isDone ? "task-done" : "older-run";
 }
 
 void scheduler::updateFailureCount(executor_entry &executor, const ended_run &end, boot_time now)
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -3,6 +3,7 @@
 #include <azurelb/core/boot_clock.hpp>
 #include <azurelb/jobs/job_record.hpp>
 #include <azurelb/jobs/job_state.hpp>
+#include <azurelb/jobs/number_set.hpp>
 #include <azurelb/keyspace/fwd.hpp>
 #include <azurelb/scheduling/former_run.hpp>
 #include <azurelb/scheduling/fwd.hpp>
@@ -67,10 +68,12 @@
     bool inherited{false};
     boot_time acceptedAt{};
     boot_time endedAt{};
-    /** Occurrences that have become due and are not complete. */
+    /** Open occurrences by their numbers: those that have become due and are not complete, as far
+        as the limit on open occurrences allows. */
     std::vector<occurrence_entry> occurrences{};
-    std::uint32_t occurrencesOpened{0};
-    std::vector<std::uint32_t> completedOccurrences{};
+    /** All occurrences with lower numbers have been opened. */
+    std::uint32_t nextOccurrence{0};
+    number_set completedOccurrences{};
     /** Differs from the stored progress. */
     bool dirty{false};
     /** Revision of the stored progress; 0 for none. */
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -23,6 +23,24 @@
     return criticalPathLength(remaining);
 }
 
+std::vector<occurrence_entry>::iterator positionOf(std::vector<occurrence_entry> &occurrences,
+                                                   std::uint32_t number) noexcept
+{
+    return std::lower_bound(
+        occurrences.begin(), occurrences.end(), number,
+        [](const occurrence_entry &each, std::uint32_t wanted) { return each.number < wanted; });
+}
+
+/** Returns how many occurrences of the job may be open at a time. */
+std::size_t openOccurrenceLimit(const job_record &record)
+{
+    std::size_t tasks = 0;
+    for (const job_step &each : record.steps)
+        tasks += each.taskCount;
+    return std::clamp(job_table::maxOpenTasks / std::max<std::size_t>(tasks, 1), std::size_t{1},
+                      job_table::maxOpenOccurrences);
+}
+
 boot_time dueTime(const job_entry &job, std::uint32_t number, milliseconds unixOffset)
 {
     if (job.record.repeats == 0)
@@ -124,10 +142,8 @@
 
 occurrence_entry *job_table::findOccurrence(job_entry &job, std::uint32_t number) noexcept
 {
-    const auto found =
-        std::find_if(job.occurrences.begin(), job.occurrences.end(),
-                     [number](const occurrence_entry &each) { return each.number == number; });
-    return found == job.occurrences.end() ? nullptr : &*found;
+    const auto found = positionOf(job.occurrences, number);
+    return found == job.occurrences.end() || found->number != number ? nullptr : &*found;
 }
 
 step_entry *job_table::findStep(const task_id &task) noexcept
@@ -185,7 +201,7 @@
         opened.steps.push_back(std::move(step));
     }
     openSteps(job.record, opened);
-    job.occurrences.push_back(std::move(opened));
+    job.occurrences.insert(positionOf(job.occurrences, number), std::move(opened));
 }
 
 void job_table::openSteps(const job_record &record, occurrence_entry &occurrence)
@@ -207,21 +223,33 @@
         job_entry *const job = find(id);
         if (!job || isFinal(job->state))
             return true;
+        removeCompletedOccurrences(*job);
         const std::uint32_t count = occurrenceCount(job->record);
-        for (; job->occurrencesOpened < count; ++job->occurrencesOpened) {
-            const std::uint32_t number = job->occurrencesOpened;
+        const std::size_t limit = openOccurrenceLimit(job->record);
+        while (true) {
+            const auto next = job->completedOccurrences.firstAbsent(job->nextOccurrence);
+            if (next >= count)
+                return true;
+            const auto number = static_cast<std::uint32_t>(next);
             const boot_time due = dueTime(*job, number, unixOffset);
-            if (due > now)
+            occurrence_entry *const known = findOccurrence(*job, number);
+            if (due > now || (!known && job->occurrences.size() >= limit))
                 return false;
-            const auto &completed = job->completedOccurrences;
-            const bool over =
-                std::find(completed.begin(), completed.end(), number) != completed.end();
-            if (occurrence_entry *const known = findOccurrence(*job, number))
+            if (known)
                 known->due = due;
-            else if (!over)
+            else
                 openOccurrence(*job, number, due);
+            job->nextOccurrence = number + 1;
         }
-        return true;
+    });
+}
+
+void job_table::removeCompletedOccurrences(job_entry &job)
+{
+    std::erase_if(job.occurrences, [&job](const occurrence_entry &occurrence) {
+        return job.completedOccurrences.contains(occurrence.number)
+            && std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                           [](const step_entry &step) { return step.assigned == 0; });
     });
 }
 
@@ -229,24 +257,10 @@
 {
     job_entry *const job = find(task.job);
     if (!job || isFinal(job->state) || task.occurrence >= occurrenceCount(job->record)
-        || findOccurrence(*job, task.occurrence))
+        || findOccurrence(*job, task.occurrence)
+        || job->completedOccurrences.contains(task.occurrence))
         return;
-    const auto &completed = job->completedOccurrences;
-    if (std::find(completed.begin(), completed.end(), task.occurrence) == completed.end())
-        openOccurrence(*job, task.occurrence, job->acceptedAt);
-}
-
-std::optional<boot_time> job_table::nextDueTime(milliseconds unixOffset) const
-{
-    std::optional<boot_time> next;
-    for (const job_entry *const each : m_open) {
-        const job_entry &job = *each;
-        if (job.occurrencesOpened >= occurrenceCount(job.record))
-            continue;
-        const boot_time due = dueTime(job, job.occurrencesOpened, unixOffset);
-        next = next ? std::min(*next, due) : due;
-    }
-    return next;
+    openOccurrence(*job, task.occurrence, job->acceptedAt);
 }
 
 void job_table::assign(const task_id &task, const executor_id &executor)
@@ -350,7 +364,7 @@
     openSteps(job.record, occurrence);
     if (occurrence.stepsDone < occurrence.steps.size())
         return end_effect::task_done;
-    job.completedOccurrences.push_back(task.occurrence);
+    job.completedOccurrences.insert(task.occurrence);
     if (job.completedOccurrences.size() < occurrenceCount(job.record))
         return end_effect::task_done;
     finish(job, job_state::completed, now);
--- a/src/azurelb/scheduling/job_table.hpp
+++ b/src/azurelb/scheduling/job_table.hpp
@@ -9,7 +9,6 @@
 #include <azurelb/scheduling/job_entry.hpp>
 
 #include <chrono>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,7 +50,12 @@
     [[nodiscard]] task_entry *find(const task_id &task) noexcept;
     [[nodiscard]] step_entry *findStep(const task_id &task) noexcept;
 
-    /** Opens the occurrences that are due. unixOffset is Unix time minus boot time. */
+    /** Limits on the open occurrences of a job and on their tasks. At least one is opened. */
+    static constexpr std::size_t maxOpenOccurrences{1000};
+    static constexpr std::size_t maxOpenTasks{10'000};
+
+    /** Opens the occurrences that are due, as far as the limits allow; the others are opened as
+        open ones end. unixOffset is Unix time minus boot time. */
     void openDueOccurrences(boot_time now, std::chrono::milliseconds unixOffset);
 
     /**
@@ -61,9 +65,6 @@
      */
     void openReportedOccurrence(const task_id &task);
 
-    /** Returns when the next occurrence becomes due; nullopt if there is none. */
-    [[nodiscard]] std::optional<boot_time> nextDueTime(std::chrono::milliseconds unixOffset) const;
-
     /** Records that a run of the task may exist on the executor. */
     void assign(const task_id &task, const executor_id &executor);
 
@@ -113,6 +114,8 @@
     void restore(job_entry &job, const job_progress &stored);
     static void openSteps(const job_record &record, occurrence_entry &occurrence);
     static occurrence_entry *findOccurrence(job_entry &job, std::uint32_t number) noexcept;
+    /** Removes completed occurrences of which no run is left. */
+    static void removeCompletedOccurrences(job_entry &job);
     end_effect applyDone(job_entry &job, const task_id &task, boot_time now);
     end_effect applyFailure(job_entry &job, const ended_run &end, const executor_id &executor,
                             boot_time now);
--- a/test/azurelb/jobs/codec_test.cpp
+++ b/test/azurelb/jobs/codec_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(progressRoundTrips);
     CPPUNIT_TEST(finalProgressHasOnlyTheState);
     CPPUNIT_TEST(progressOfALargeJobFitsIntoAValue);
+    CPPUNIT_TEST(progressOfManyOccurrencesIsShort);
     CPPUNIT_TEST(largeProgressRoundTrips);
     CPPUNIT_TEST(rejectsUnboundedRangesOfDoneTasks);
     CPPUNIT_TEST(rejectsDamagedValues);
@@ -74,7 +75,7 @@
         const auto read = decodeProgress(encode(progress));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT(read->state == job_state::running);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->completedOccurrences.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, read->completedOccurrences.size());
         const task_progress &task = read->tasks.at(0);
         CPPUNIT_ASSERT_EQUAL(run_number{77}, task.lastEndedRun);
         CPPUNIT_ASSERT((task.failedRuns == std::vector<run_number>{41, 77}));
@@ -96,6 +97,24 @@
         CPPUNIT_ASSERT(encode(largeProgress()).size() < 100'000);
     }
 
+    /** Guards against progress that grows with each completed occurrence: it is written whole each
+        time, and 100,000 numbers come close to the limit of a value. */
+    void progressOfManyOccurrencesIsShort()
+    {
+        job_progress progress;
+        progress.state = job_state::running;
+        for (std::uint32_t number = 0; number < 100'000; ++number) {
+            if (number % 50'000 != 7)
+                progress.completedOccurrences.insert(number);
+        }
+        const std::string text = encode(progress);
+        CPPUNIT_ASSERT(text.size() < 200);
+        const auto read = decodeProgress(text);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{99'998}, read->completedOccurrences.size());
+        CPPUNIT_ASSERT(!read->completedOccurrences.contains(50'007));
+    }
+
     void largeProgressRoundTrips()
     {
         const job_progress progress = largeProgress();
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -28,6 +28,16 @@
     return job;
 }
 
+/** The job's first occurrence was due in 1970; another one follows each minute. */
+job_record withOverdueOccurrences(std::uint32_t repeats, std::uint32_t tasks,
+                                  const std::string &id = jobA)
+{
+    job_record job = makeJob(id, tasks);
+    job.repeats = repeats;
+    job.interval = std::chrono::minutes{1};
+    return job;
+}
+
 run_plan runsForAnHour(const task_id &)
 {
     return {std::chrono::hours{1}, run_end::done};
@@ -68,6 +78,8 @@
     CPPUNIT_TEST(runsOnUnresponsiveExecutorCountAsUnavailable);
     CPPUNIT_TEST(evictionOfStartingRunsRespectsMaxUnavailable);
     CPPUNIT_TEST(startsWholeGangOrNothing);
+    CPPUNIT_TEST(overdueOccurrencesAreOpenedAFewAtATime);
+    CPPUNIT_TEST(eachOverdueOccurrenceRunsOnce);
     CPPUNIT_TEST(gangWithoutRoomIsPending);
     CPPUNIT_TEST(gangWithoutRoomIsNotStoredAgainAndAgain);
     CPPUNIT_TEST(jobWhoseStartIsRejectedIsPending);
@@ -496,6 +508,44 @@
         CPPUNIT_ASSERT(job.state == job_state::running);
     }
 
+    /** Guards against an owner that opens all overdue occurrences of a job in one event, and loses
+        its lease meanwhile (review case 11). */
+    void overdueOccurrencesAreOpenedAFewAtATime()
+    {
+        job_table jobs;
+        jobs.add(withOverdueOccurrences(100'000, 1), {}, 0, false, m_simulation.now());
+        jobs.add(withOverdueOccurrences(100, 2000, jobB), {}, 0, false, m_simulation.now());
+        jobs.openDueOccurrences(m_simulation.now(), std::chrono::hours{1'000'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, jobs.find(jobA)->occurrences.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, jobs.find(jobB)->occurrences.size());
+    }
+
+    void eachOverdueOccurrenceRunsOnce()
+    {
+        constexpr std::uint32_t repeats{2500};
+        job_table jobs;
+        jobs.add(withOverdueOccurrences(repeats, 1), {}, 0, false, m_simulation.now());
+        const job_entry &job = *jobs.find(jobA);
+        run_number run = 0;
+        while (job.state != job_state::completed && run < repeats) {
+            jobs.openDueOccurrences(m_simulation.now(), std::chrono::hours{1'000'000});
+            CPPUNIT_ASSERT(job.occurrences.size() <= 1000);
+            std::vector<std::uint32_t> open;
+            for (const occurrence_entry &each : job.occurrences) {
+                if (each.stepsDone == 0)
+                    open.push_back(each.number);
+            }
+            // The first ones stay open for a while.
+            for (std::size_t index = open.size() > 3 ? 3 : 0; index < open.size(); ++index) {
+                const ended_run end{1, {jobA, open[index], 0, 0}, ++run, run_end::done, {}};
+                CPPUNIT_ASSERT(jobs.applyEnd(end, "e1", m_simulation.now()) != end_effect::none);
+                CPPUNIT_ASSERT(jobs.applyEnd(end, "e1", m_simulation.now()) == end_effect::none);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(run_number{repeats}, run);
+        CPPUNIT_ASSERT(job.state == job_state::completed);
+    }
+
     void nothingStartsInEvacuatedZone()
     {
         m_simulation.currentScheduler().setEvacuatedZones({"zone"});
