A gang is planned before any of its members is placed

Cause: placeGang() placed the members one by one and took them back when one found no room. The entry of that member in pool.rejected stayed: it holds for the room that the others had taken, but was used for the rest of the pass. Priority and team limits were ruled out: the new test fails with both jobs in one queue and team. The undone trial also restarted the idle time of executors and used one run number a pass.

planGang() now plans on the candidates of the pass only; assignments, orders, run numbers and leases come once all members have an executor. pool.rejected is cut back unless the first member found no room either. mayHoldGang() ends hopeless trials with one sum over the executors.

Seen to fail on: scheduler_test::gangWithoutRoomHoldsBackNoOtherJob (expected 1 start, was 0) and waitingGangLeavesExecutorsAndRunNumbersAlone (idleSince). Passed before and now, so shown sound: stepsThatCannotStartHoldBackNoOtherJob, gangSpreadsOverExecutors.

--- a/src/azurelb/jobs/resources.hpp
+++ b/src/azurelb/jobs/resources.hpp
@@ -42,6 +42,12 @@
         return left -= right;
     }
 
+    [[nodiscard]] friend constexpr resources operator*(const resources &each,
+                                                       std::int64_t count) noexcept
+    {
+        return {each.cpu * count, each.memory * count, each.accelerators * count};
+    }
+
     [[nodiscard]] friend constexpr bool operator==(const resources &,
                                                    const resources &) noexcept = default;
 };
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -29,6 +29,19 @@
         }));
 }
 
+/** Returns how often the request fits into the free resources, up to the limit. */
+std::size_t countFitting(const resources &request, const resources &free, std::size_t limit)
+{
+    std::size_t count = limit;
+    for (const auto amount : {&resources::cpu, &resources::memory, &resources::accelerators}) {
+        if (free.*amount < request.*amount)
+            return 0;
+        if (request.*amount > 0)
+            count = std::min(count, static_cast<std::size_t>(free.*amount / request.*amount));
+    }
+    return count;
+}
+
 bool hasLabel(const executor_entry &executor, const std::string &label)
 {
     const auto &labels = executor.info.labels;
@@ -46,13 +59,13 @@
 
 /** While ends can't be stored, they stay on the executor's list. Nobody would learn of an end that
    it can't list. */
-resources scheduler::roomOn(const executor_entry &executor) const noexcept
+resources scheduler::roomOn(const executor_entry &executor, std::size_t plannedRuns) const noexcept
 {
     constexpr resources none{-1, -1, -1};
     const auto unstored =
         static_cast<std::size_t>(executor.lastProcessedEnd - executor.lastStoredEnd);
-    const bool listIsFull =
-        unstored != 0 && unstored + executor.assignments.size() >= m_options.maxListedEnds;
+    const bool listIsFull = unstored != 0
+        && unstored + executor.assignments.size() + plannedRuns >= m_options.maxListedEnds;
     return listIsFull ? none : executor.free();
 }
 
@@ -162,34 +175,62 @@
 /** Places all members of the gang or none: a partial gang would hold resources while it waits. */
 void scheduler::placeGang(const waiting_step &step, pool_candidates &pool, boot_time now)
 {
-    step_entry &entry = step.occurrence->steps[step.step];
-    if (entry.assigned > 0)
+    if (step.occurrence->steps[step.step].assigned > 0)
         return;
-    const team_entry *const team = findTeam(m_catalogue, step.job->record.team);
-    const run_number run = ++m_lastRun;
-    const std::size_t before = m_orders.size();
-    std::vector<candidate *> used;
-    for (std::uint32_t index = 0; index < entry.tasks.size(); ++index) {
-        candidate *const chosen = chooseExecutor(step, entry.tasks[index], pool, team);
-        if (chosen) {
-            startOn(*chosen, step, index, run, now);
-            used.push_back(chosen);
-            continue;
-        }
-        for (std::size_t placed = before; placed < m_orders.size(); ++placed) {
-            const auto &order = std::get<start_order>(m_orders[placed]);
-            dropAssignment(*m_executors.find(order.executor), order.task,
-                           release_reason::not_started, now);
-            m_jobs.find(order.task)->former = order.former;
-        }
-        m_orders.resize(before);
-        for (candidate *const each : used)
-            each->free = roomOn(*each->executor);
+    const std::vector<candidate *> chosen = planGang(step, pool);
+    if (chosen.empty())
         return;
-    }
+    const run_number run = ++m_lastRun;
+    for (std::uint32_t index = 0; index < chosen.size(); ++index)
+        startOn(*chosen[index], step, index, run, now);
     recordStart(step, now);
 }
 
+std::vector<scheduler::candidate *> scheduler::planGang(const waiting_step &step,
+                                                        pool_candidates &pool) const
+{
+    const job_step &jobStep = step.job->record.steps[step.step];
+    const auto &tasks = step.occurrence->steps[step.step].tasks;
+    const team_entry *const team = findTeam(m_catalogue, step.job->record.team);
+    if (!m_executors.teams().admits(team, jobStep.request * jobStep.taskCount)
+        || !mayHoldGang(jobStep, pool))
+        return {};
+    const resources wanted = reservation(jobStep);
+    const std::size_t rejectedBefore = pool.rejected.size();
+    std::vector<candidate *> planned;
+    for (const task_entry &task : tasks) {
+        candidate *const chosen = chooseExecutor(step, task, pool, team);
+        if (!chosen)
+            break;
+        planned.push_back(chosen);
+        const resources room = roomOn(*chosen->executor, ++chosen->plannedMembers);
+        chosen->free = fits({}, room) ? chosen->free - wanted : room;
+    }
+    for (candidate *const each : planned) {
+        each->plannedMembers = 0;
+        each->free = roomOn(*each->executor);
+    }
+    if (planned.size() == tasks.size())
+        return planned;
+    // What the planned members left is not what other steps find.
+    if (!planned.empty())
+        pool.rejected.resize(rejectedBefore);
+    return {};
+}
+
+bool scheduler::mayHoldGang(const job_step &step, const pool_candidates &pool)
+{
+    const resources wanted = reservation(step);
+    std::size_t members = 0;
+    for (const candidate &each : pool.executors) {
+        if (hasLabel(*each.executor, step.requiredLabel))
+            members += std::min(countFitting(wanted, each.free, step.taskCount),
+                                step.maxPerExecutor == 0 ? std::size_t{step.taskCount}
+                                                         : std::size_t{step.maxPerExecutor});
+    }
+    return members >= step.taskCount;
+}
+
 void scheduler::recordStart(const waiting_step &step, boot_time now)
 {
     const job_record &record = step.job->record;
@@ -229,10 +270,12 @@
         const executor_entry &each = *entry.executor;
         if (!hasLabel(each, jobStep.requiredLabel))
             continue;
-        const std::size_t tasksOfStep = countsTasks ? countTasksOfStep(each, firstTask) : 0;
+        const std::size_t tasksOfStep =
+            countsTasks ? countTasksOfStep(each, firstTask) + entry.plannedMembers : 0;
         if (jobStep.maxPerExecutor != 0 && tasksOfStep >= jobStep.maxPerExecutor)
             continue;
-        if (each.consecutiveFailures >= m_options.suspendAfterFailures && each.shortRuns() > 0)
+        if (each.consecutiveFailures >= m_options.suspendAfterFailures
+            && each.shortRuns() + entry.plannedMembers > 0)
             continue;
         const bool otherRack = !jobStep.preferredRack.empty() && each.rack != jobStep.preferredRack;
         const bool failed = !task.lastFailedOn.empty() && task.lastFailedOn == each.info.id;
@@ -241,13 +284,15 @@
             jobStep.longRunning && tasksOfStep >= std::max<std::size_t>(jobStep.maxUnavailable, 1);
         // The task would have to move again when the open wave reaches this VM.
         const bool movesAgain = jobStep.longRunning && each.maintenanceDue;
-        const placement_cost cost{failed,
-                                  exceedsSpread,
-                                  movesAgain,
-                                  otherRack,
-                                  each.longRuns == 0,
-                                  jobStep.backfill ? static_cast<std::int64_t>(each.used.memory)
-                                                   : entry.free.cpu};
+        const std::size_t longRuns =
+            each.longRuns + (jobStep.longRunning ? entry.plannedMembers : 0);
+        const placement_cost cost{
+            failed,
+            exceedsSpread,
+            movesAgain,
+            otherRack,
+            longRuns == 0,
+            jobStep.backfill ? each.info.capacity.memory - entry.free.memory : entry.free.cpu};
         if (!best || cost < lowest) {
             best = &entry;
             lowest = cost;
@@ -303,7 +348,7 @@
                 if (!step.open || open == 0)
                     continue;
                 const resources each = reservation(jobStep);
-                const resources all{each.cpu * open, each.memory * open, each.accelerators * open};
+                const resources all = each * open;
                 (jobStep.longRunning ? load.longRunningDemand : load.demand) += all;
                 if (late && !jobStep.longRunning)
                     load.lateDemand += all;
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -152,6 +152,8 @@
         executor_entry *executor;
         /** Kept here, so that full executors are skipped without access to their entries. */
         resources free;
+        /** Members of the gang that is being planned here. They have no assignment yet. */
+        std::size_t plannedMembers{0};
     };
     /** Executors of a pool during one pass of placement. */
     struct pool_candidates
@@ -217,11 +219,18 @@
     [[nodiscard]] bool isUsable(const executor_entry &executor, boot_time now) const;
     /** Returns the resources that a new run may use; nothing fits if the ends of its runs could be
         more than it lists at a time. */
-    [[nodiscard]] resources roomOn(const executor_entry &executor) const noexcept;
+    [[nodiscard]] resources roomOn(const executor_entry &executor,
+                                   std::size_t plannedRuns = 0) const noexcept;
     [[nodiscard]] pool_candidates candidatesOf(const std::string &pool, boot_time now) const;
     void placeWaitingSteps(boot_time now);
     void placeStep(const waiting_step &step, pool_candidates &pool, boot_time now);
     void placeGang(const waiting_step &step, pool_candidates &pool, boot_time now);
+    /** Returns an executor for each member of the gang; empty if not all of them find room. The
+        candidates and the scheduler are as before. */
+    [[nodiscard]] std::vector<candidate *> planGang(const waiting_step &step,
+                                                    pool_candidates &pool) const;
+    /** Returns false if the executors can't have room for all members, whatever their division. */
+    [[nodiscard]] static bool mayHoldGang(const job_step &step, const pool_candidates &pool);
     [[nodiscard]] candidate *chooseExecutor(const waiting_step &step, const task_entry &task,
                                             pool_candidates &pool, const team_entry *team) const;
     /** Notes that a step of a job has been placed. */
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -81,6 +81,10 @@
     CPPUNIT_TEST(overdueOccurrencesAreOpenedAFewAtATime);
     CPPUNIT_TEST(eachOverdueOccurrenceRunsOnce);
     CPPUNIT_TEST(gangWithoutRoomIsPending);
+    CPPUNIT_TEST(gangWithoutRoomHoldsBackNoOtherJob);
+    CPPUNIT_TEST(waitingGangLeavesExecutorsAndRunNumbersAlone);
+    CPPUNIT_TEST(stepsThatCannotStartHoldBackNoOtherJob);
+    CPPUNIT_TEST(gangSpreadsOverExecutors);
     CPPUNIT_TEST(gangWithoutRoomIsNotStoredAgainAndAgain);
     CPPUNIT_TEST(jobWhoseStartIsRejectedIsPending);
     CPPUNIT_TEST(nothingStartsInEvacuatedZone);
@@ -471,6 +475,107 @@
                              m_simulation.currentScheduler().jobs().countPendingJobs(gang.queue));
     }
 
+    /** Guards against a gang without room that keeps other jobs from starting in an idle pool
+        (review case 12): its members were placed and taken back, but the pool counted as full. */
+    void gangWithoutRoomHoldsBackNoOtherJob()
+    {
+        addLowerQueue();
+        for (const bool lasting : {false, true}) {
+            for (const char *const queue : {"queue", "lower"}) {
+                scheduler_simulation simulation;
+                simulation.addExecutor("e1");
+                simulation.addExecutor("e2");
+                simulation.config = m_simulation.config;
+                simulation.currentScheduler().apply(simulation.config);
+                simulation.advance(milliseconds{500});
+                job_record gang = makeJob(jobA, 5, 8000);
+                gang.steps.front().gang = true;
+                gang.steps.front().longRunning = lasting;
+                simulation.submit(gang);
+                simulation.advance(milliseconds{500});
+                job_record other = makeJob(jobB, 2, 8000);
+                other.queue = queue;
+                simulation.submit(other);
+                simulation.advance(milliseconds{200});
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, simulation.startsOf({jobB, 0, 0, 0}));
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, simulation.startsOf({jobB, 0, 0, 1}));
+            }
+        }
+    }
+
+    /** Guards against a gang whose trials end the idle time of executors, so that their VMs never
+        move to another pool, and use up the owner's run numbers. */
+    void waitingGangLeavesExecutorsAndRunNumbersAlone()
+    {
+        const executor_entry &executor = *m_simulation.currentScheduler().executors().find("e1");
+        const boot_time idleSince = executor.idleSince;
+        job_record gang = makeJob(jobA, 5, 8000);
+        gang.steps.front().gang = true;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{2000});
+        CPPUNIT_ASSERT(executor.idleSince == idleSince);
+        m_simulation.submit(makeJob(jobB, 1));
+        m_simulation.advance(milliseconds{100});
+        const auto &runs = m_simulation.currentScheduler().executors().all();
+        for (const auto &[id, each] : runs) {
+            for (const auto &[task, held] : each.assignments)
+                CPPUNIT_ASSERT_EQUAL(run_number{1'000'001}, held.run);
+        }
+    }
+
+    /** A step that can't be spread any further, a job that is larger than its pool, and a team at
+        its limit: jobs of the same queue, of a lower one and long-running ones start all the
+        same. */
+    void stepsThatCannotStartHoldBackNoOtherJob()
+    {
+        addLowerQueue();
+        m_simulation.config.teams.push_back({});
+        m_simulation.config.teams.back().name = "full";
+        m_simulation.config.teams.back().limit = {500, 0, 0};
+        m_simulation.currentScheduler().apply(m_simulation.config);
+        m_simulation.setPlan(runsForAnHour);
+        job_record spread = makeJob(jobA, 4, 1000);
+        spread.steps.front().maxPerExecutor = 1;
+        m_simulation.submit(spread);
+        job_record limited = makeJob("cccccccccccccccc", 2, 1000);
+        limited.team = "full";
+        m_simulation.submit(limited);
+        job_record large = makeJob("dddddddddddddddd", 2, 17'000);
+        m_simulation.submit(large);
+        m_simulation.advance(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, running());
+        std::size_t expected = running();
+        for (const char *const queue : {"queue", "lower"}) {
+            for (const bool lasting : {false, true}) {
+                job_record other =
+                    makeJob(std::string(14, 'e') + (lasting ? "1" : "0") + queue[0], 2);
+                other.queue = queue;
+                other.steps.front().longRunning = lasting;
+                m_simulation.submit(other);
+                m_simulation.advance(milliseconds{200});
+                expected += 2;
+                CPPUNIT_ASSERT_EQUAL(expected, running());
+            }
+        }
+    }
+
+    void gangSpreadsOverExecutors()
+    {
+        job_record gang = makeJob(jobA, 5, 1000);
+        gang.steps.front().gang = true;
+        gang.steps.front().maxPerExecutor = 2;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, running());
+        gang = makeJob(jobB, 4, 1000);
+        gang.steps.front().gang = true;
+        gang.steps.front().maxPerExecutor = 2;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_simulation.executor("e1").running().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_simulation.executor("e2").running().size());
+    }
+
     /** Each pass tries to place it. */
     void gangWithoutRoomIsNotStoredAgainAndAgain()
     {
@@ -576,6 +681,16 @@
     }
 
 private:
+    /** Adds a queue of the same pool whose jobs are placed after those of the first one. */
+    void addLowerQueue()
+    {
+        queue_entry lower = m_simulation.config.queues.front();
+        lower.name = "lower";
+        lower.priority = 1;
+        m_simulation.config.queues.push_back(lower);
+        m_simulation.currentScheduler().apply(m_simulation.config);
+    }
+
     [[nodiscard]] std::size_t running()
     {
         return m_simulation.executor("e1").running().size()
