A submission behind the cancellation of its job is refused

Cause: job_intake::submit() heeded the mark of a cancellation only if an earlier write of the same call might still take effect. Otherwise the entry passed for that of a rejection, which a second submission removes. reject() wrote its entry over that of a cancellation. A late write of the store was ruled out: the tests break on a store that answers at once.

--- a/src/azurelb/intake/intake_outcome.hpp
+++ b/src/azurelb/intake/intake_outcome.hpp
@@ -15,7 +15,9 @@
     /** The job does not exist. */
     missing,
     /** The job was rejected when it was submitted earlier. */
-    rejected_before
+    rejected_before,
+    /** The caller was told that the job is cancelled; it has not run and will not. */
+    cancelled_before
 };
 
 } // namespace azurelb
--- a/src/azurelb/intake/job_intake.cpp
+++ b/src/azurelb/intake/job_intake.cpp
@@ -33,8 +33,8 @@
 constexpr unsigned unavailableAfterFailures{2};
 /** Part of the deadline reserved for the transmission of the answer to the caller. */
 constexpr milliseconds answerMargin{150};
-/** Rejections are kept for as long as a delayed write of an earlier submission may take effect. One
-    lease serves all rejections of half its term. */
+/** Rejections and cancellations are kept for as long as an earlier submission may be held up. One
+    lease serves all entries of half its term, so that each lasts for a minute at least. */
 constexpr milliseconds rejectionLeaseTerm{120'000};
 
 /** Returns the key after a conflict; null if it does not exist. */
@@ -173,12 +173,13 @@
             co_return submit_result{intake_outcome::done};
         if (conflict) {
             const keyspace_item *const earlier = findItem(outcome, rejection);
-            // No earlier write of this submission can take effect any more.
-            if (earlier && mayExist && decodeBarrier(*earlier).cancelled)
-                co_return submit_result{intake_outcome::refused};
+            const submission_barrier barrier =
+                earlier ? decodeBarrier(*earlier) : submission_barrier{};
+            // No earlier write of this submission can take effect any more either.
+            if (barrier.cancelled)
+                co_return submit_result{intake_outcome::cancelled_before};
             if (earlier && mode == resubmission::ask)
-                co_return submit_result{intake_outcome::rejected_before,
-                                        decodeBarrier(*earlier).firstSubmittedAt};
+                co_return submit_result{intake_outcome::rejected_before, barrier.firstSubmittedAt};
             rejectedAt = earlier ? earlier->revision : 0;
         } else {
             probe();
@@ -242,9 +243,12 @@
                 co_return intake_outcome::missing;
             const keyspace_item *const earlier = conflict ? findItem(outcome, rejection) : nullptr;
             rejectedAt = earlier ? earlier->revision : 0;
-            if (earlier)
-                with.firstSubmittedAt =
-                    std::min(with.firstSubmittedAt, decodeBarrier(*earlier).firstSubmittedAt);
+            if (earlier) {
+                const submission_barrier known = decodeBarrier(*earlier);
+                with.firstSubmittedAt = std::min(with.firstSubmittedAt, known.firstSubmittedAt);
+                // A rejection does not lift a cancellation.
+                with.cancelled = with.cancelled || known.cancelled;
+            }
             if (outcome.error == keyspace_error::missing)
                 m_rejectionLease = 0;
         }
--- a/src/azurelb/intake/job_intake.hpp
+++ b/src/azurelb/intake/job_intake.hpp
@@ -65,7 +65,8 @@
     /**
      * Stores a job. A job whose identifier is already stored counts as the same job. If the job was
      * rejected before, it is stored only with resubmission::accept; otherwise the outcome is
-     * rejected_before.
+     * rejected_before. If it was cancelled, the outcome is cancelled_before: nothing tells a
+     * submission that was held up from one that the caller has sent since.
      */
     [[nodiscard]] boost::asio::awaitable<submit_result>
     submit(job_record job, std::chrono::milliseconds deadline, resubmission mode);
@@ -80,8 +81,8 @@
     reject(job_id id, std::chrono::milliseconds firstSubmittedAt,
            std::chrono::milliseconds deadline);
 
-    /** Stores a request to cancel a job. If there is no such job, submissions of it whose writes
-       may still be on their way create none any more; a later submission does. */
+    /** Stores a request to cancel a job. If there is no such job, its submissions are refused for
+       at least a minute, wherever they may be held up. */
     [[nodiscard]] boost::asio::awaitable<intake_outcome> cancel(job_id id,
                                                                 std::chrono::milliseconds deadline);
 
