Orders for VMs that have left the fleet end

A VM that was removed during its maintenance kept its place in the wave for good: with a limit of one, the wave never went on; a removed VM that was to be moved counted as arriving in its pool. Cause: settle() is called for VMs of the list only, so that absence decided nothing here, where it should.

Seen to fail on: owner_test::vmThatLeavesDuringItsMaintenanceFreesItsPlace (2 VMs expected in maintenance one after the other, was 1 after 6 s); passes now.

--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -182,6 +182,7 @@
               [](const vm_entry &left, const vm_entry &right) { return left.vm < right.vm; });
     for (const vm_entry &each : m_vms)
         settle(each);
+    dropOrdersOfDepartedVms();
     endReplacedExecutors(now);
 }
 
@@ -230,29 +231,49 @@
     order.answered = order.answered || (order.wave != 0 && vm.state == vm_state::maintenance);
     endMaintainedExecutor(vm, order);
     const bool changed = vm.executor != order.executor && vm.state == vm_state::up;
-    const milliseconds usual =
-        order.wave == 0 ? m_options.moveTime : m_options.waves.maintenanceTime;
-    // An order without an answer may be carried out late, and the list may be older than its
-    // answer.
-    const bool expired =
-        vm.state == vm_state::up && m_vmsShownAt - order.orderedAt > usual + settleTime;
+    const bool expired = vm.state == vm_state::up && isOverdue(order);
     if (!(changed && order.answered) && !expired)
         return;
-    if (order.wave != 0) {
-        wave_progress &progress = m_progress[order.wave];
-        progress.inMaintenance.erase(vm.vm);
-        // A new executor alone proves nothing: the former one may have crashed.
-        if (order.answered)
-            progress.finished.insert(vm.vm);
-        else
-            m_unansweredMaintenance.insert(vm.vm);
-        m_unreported.insert(order.wave);
-    }
+    finishOrder(vm.vm, order);
     if (!changed)
         reserve(vm.vm, false);
     m_orders.erase(found);
 }
 
+/** An order without an answer may be carried out late, and the list may be older than its answer.
+ */
+bool vm_manager::isOverdue(const pending_order &order) const
+{
+    const milliseconds usual =
+        order.wave == 0 ? m_options.moveTime : m_options.waves.maintenanceTime;
+    return m_vmsShownAt - order.orderedAt > usual + settleTime;
+}
+
+void vm_manager::finishOrder(const std::string &vm, const pending_order &order)
+{
+    if (order.wave == 0)
+        return;
+    wave_progress &progress = m_progress[order.wave];
+    progress.inMaintenance.erase(vm);
+    // A new executor alone proves nothing: the former one may have crashed.
+    if (order.answered)
+        progress.finished.insert(vm);
+    else
+        m_unansweredMaintenance.insert(vm);
+    m_unreported.insert(order.wave);
+}
+
+void vm_manager::dropOrdersOfDepartedVms()
+{
+    std::erase_if(m_orders, [this](const auto &each) {
+        const auto &[vm, order] = each;
+        if (find(vm) || !isOverdue(order))
+            return false;
+        finishOrder(vm, order);
+        return true;
+    });
+}
+
 void vm_manager::endMaintainedExecutor(const vm_entry &vm, const pending_order &order)
 {
     const bool hasEnded = vm.state != vm_state::up || vm.executor != order.executor;
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -110,6 +110,13 @@
     void readList();
     void handleList(vm_listing &&listing);
     void settle(const vm_entry &vm);
+    /** Returns whether the list would show an effect of the order by now, if it had any. */
+    [[nodiscard]] bool isOverdue(const pending_order &order) const;
+    /** Ends the wait for an order. */
+    void finishOrder(const std::string &vm, const pending_order &order);
+    /** Ends the wait for orders of VMs that have left the fleet: their places in a wave, and in the
+        pool that they were to join, are free. */
+    void dropOrdersOfDepartedVms();
     /** Ends the executor of a VM whose maintenance has begun, once the list shows that. */
     void endMaintainedExecutor(const vm_entry &vm, const pending_order &order);
     void endReplacedExecutors(boot_time now);
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -199,6 +199,7 @@
     CPPUNIT_TEST(newExecutorIsNoProofOfMaintenance);
     CPPUNIT_TEST(waveIncludesAVmThatTheListDoesNotShowYet);
     CPPUNIT_TEST(waveIsCompletedWithoutAVmThatHasLeft);
+    CPPUNIT_TEST(vmThatLeavesDuringItsMaintenanceFreesItsPlace);
     CPPUNIT_TEST(maintenanceInTheListIsProofOfIt);
     CPPUNIT_TEST(repeatedMaintenanceOrderEndsNoExecutor);
     CPPUNIT_TEST(withholdsAMaintenanceOrderOfAnEndedOwner);
@@ -586,6 +587,24 @@
         CPPUNIT_ASSERT(m_vms.maintained.empty());
     }
 
+    /** Guards against a wave that never ends: a VM is removed while its maintenance is under way,
+        and keeps the only place of those in maintenance. */
+    void vmThatLeavesDuringItsMaintenanceFreesItsPlace()
+    {
+        startFleetOfOneVm();
+        m_vms.vms.push_back({"vm1", "pool", vm_state::up, "zone", {8000, 8000, 0}, "e2"});
+        registerExecutor("e2", "vm1");
+        requestWave({"vm0", "vm1"});
+        run(milliseconds{2000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+        std::erase_if(m_vms.vms,
+                      [this](const vm_entry &each) { return each.vm == m_vms.maintained.front(); });
+        m_vms.answersMaintenance = true;
+        run(milliseconds{6000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_vms.maintained.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+    }
+
     /** The answer is lost, and the list shows that the order was carried out. */
     void maintenanceInTheListIsProofOfIt()
     {
