A changed request for a known wave is applied

Cause: vm_manager::apply() compared numbers only.

The VMs and the limit of the newest request count; finished maintenance stays finished.

Seen to fail on: owner_test::changedWaveIncludesItsNewVms (the added VM got no maintenance); passes now.

--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -89,8 +89,10 @@
     m_evacuatedZones = desired.evacuatedZones;
     for (const wave_entry &each : desired.waves) {
         const auto [place, isNew] = m_waves.try_emplace(each.number, each);
-        if (!isNew)
+        if (!isNew) {
+            changeWave(place->second, each);
             continue;
+        }
         place->second.knownAt = boot_clock::now();
         if (m_startedAt == boot_time{})
             m_inheritedWaves.insert(each.number);
@@ -99,6 +101,22 @@
     }
 }
 
+void vm_manager::changeWave(wave_entry &wave, const wave_entry &requested)
+{
+    if (wave.vms == requested.vms && wave.maxParallel == requested.maxParallel)
+        return;
+    for (const std::string &vm : wave.vms) {
+        const auto &kept = requested.vms;
+        if (std::find(kept.begin(), kept.end(), vm) == kept.end() && !m_orders.contains(vm))
+            reserve(vm, false);
+    }
+    wave = requested;
+    wave.knownAt = boot_clock::now();
+    m_progress[wave.number].deadlineUnix = milliseconds{0};
+    m_unreported.insert(wave.number);
+    shareDeadline(wave.number);
+}
+
 void vm_manager::restore(const numbered_wave_progress &stored)
 {
     if (stored.number == 0)
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -105,6 +105,9 @@
     };
 
     void tick();
+    /** Applies another request under the number of a known wave. Maintenance that is finished
+       counts for it too. */
+    void changeWave(wave_entry &wave, const wave_entry &requested);
     void shareDeadline(std::int64_t number);
     void recordArrivals();
     void readList();
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -200,6 +200,7 @@
     CPPUNIT_TEST(waveIncludesAVmThatTheListDoesNotShowYet);
     CPPUNIT_TEST(waveIsCompletedWithoutAVmThatHasLeft);
     CPPUNIT_TEST(vmThatLeavesDuringItsMaintenanceFreesItsPlace);
+    CPPUNIT_TEST(changedWaveIncludesItsNewVms);
     CPPUNIT_TEST(maintenanceInTheListIsProofOfIt);
     CPPUNIT_TEST(repeatedMaintenanceOrderEndsNoExecutor);
     CPPUNIT_TEST(withholdsAMaintenanceOrderOfAnEndedOwner);
@@ -605,6 +606,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
     }
 
+    /** Guards against a wave that is completed without VMs that a second request under its number
+        adds. */
+    void changedWaveIncludesItsNewVms()
+    {
+        m_vms.answersMaintenance = true;
+        startFleetOfOneVm();
+        m_vms.vms.push_back({"vm1", "pool", vm_state::up, "zone", {8000, 8000, 0}, "e2"});
+        registerExecutor("e2", "vm1");
+        requestWave({"vm0"});
+        run(milliseconds{1000});
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+        m_vms.vms.front().executor = "e3";
+        registerExecutor("e3", "vm0");
+        run(milliseconds{2500});
+        requestWave({"vm0", "vm1"});
+        run(milliseconds{2000});
+        CPPUNIT_ASSERT((m_vms.maintained == std::vector<std::string>{"vm0", "vm1"}));
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+    }
+
     /** The answer is lost, and the list shows that the order was carried out. */
     void maintenanceInTheListIsProofOfIt()
     {
