A refused order is no proof of finished maintenance

The platform may learn of a wave later than this daemon. Cause: a refusal was kept for good; it holds for the moment.

The order is repeated after 1 s.

Seen to fail on: owner_test::refusedMaintenanceIsNotFinished (expected open, was done); passes now.

--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds maxListAge{1000};
 /** An order has failed if the list shows no effect after its usual duration and this time. */
 constexpr milliseconds settleTime{1500};
+/** Time before refused maintenance of a VM is ordered again: the platform may not have read the
+    wave yet, or may lag behind its own list. */
+constexpr milliseconds refusalBackoff{1000};
 
 constexpr std::int64_t millisPerCore{1000};
 
@@ -347,7 +350,9 @@
         made.up = each.state == vm_state::up && (answers || isStandby(each.pool))
             && earlierOrdersExpired(executor, now);
         made.excluded = m_evacuatedZones.contains(each.zone);
-        made.hasPendingOrder = m_orders.contains(each.vm);
+        const auto refused = m_refusedMaintenance.find(each.vm);
+        made.hasPendingOrder = m_orders.contains(each.vm)
+            || (refused != m_refusedMaintenance.end() && now < refused->second);
         if (executor) {
             made.excluded = made.excluded || executor->info.draining;
             made.reserved = executor->reservedForMaintenance;
@@ -584,7 +589,7 @@
     wave_progress &progress = m_progress[order.wave];
     progress.inMaintenance.erase(vm);
     if (outcome == vm_order_outcome::refused && order.wave != 0)
-        progress.finished.insert(vm);
+        m_refusedMaintenance[vm] = boot_clock::now() + refusalBackoff;
     else if (outcome == vm_order_outcome::refused)
         m_refusedMoves.insert(moveKey(vm, order.pool));
     reserve(vm, false);
--- a/src/azurelb/control/vm_manager.hpp
+++ b/src/azurelb/control/vm_manager.hpp
@@ -165,6 +165,8 @@
     std::map<std::int64_t, wave_progress> m_progress{};
     /** Waves that an earlier owner may have begun. */
     std::set<std::int64_t> m_inheritedWaves{};
+    /** VMs whose maintenance was refused, and when it may be ordered again. */
+    std::map<std::string, boot_time> m_refusedMaintenance{};
     /** VMs whose maintenance was ordered without an answer. */
     std::set<std::string> m_unansweredMaintenance{};
     /** Waves whose progress has yet to be reported. */
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -148,7 +148,9 @@
     {
         maintained.push_back(vm);
         mayMaintain = std::move(maySend);
-        if (answersMaintenance)
+        if (refusesMaintenance)
+            done(vm_order_outcome::refused);
+        else if (answersMaintenance)
             done(vm_order_outcome::done);
     }
 
@@ -160,6 +162,7 @@
     /** Permission of the last order for maintenance. */
     send_permission mayMaintain{};
     bool answersMaintenance{false};
+    bool refusesMaintenance{false};
 };
 
 class fake_directory final : public executor_directory
@@ -201,6 +204,7 @@
     CPPUNIT_TEST(waveIsCompletedWithoutAVmThatHasLeft);
     CPPUNIT_TEST(vmThatLeavesDuringItsMaintenanceFreesItsPlace);
     CPPUNIT_TEST(changedWaveIncludesItsNewVms);
+    CPPUNIT_TEST(refusedMaintenanceIsNotFinished);
     CPPUNIT_TEST(maintenanceInTheListIsProofOfIt);
     CPPUNIT_TEST(repeatedMaintenanceOrderEndsNoExecutor);
     CPPUNIT_TEST(withholdsAMaintenanceOrderOfAnEndedOwner);
@@ -626,6 +630,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
     }
 
+    /** Guards against a wave that is completed without the maintenance of a VM for which the
+        platform refused it once: it reads the wave later than this daemon. */
+    void refusedMaintenanceIsNotFinished()
+    {
+        m_vms.refusesMaintenance = true;
+        startWave();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_vms.maintained.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, m_store.find(waveStateKey)->value);
+        m_vms.refusesMaintenance = false;
+        m_vms.answersMaintenance = true;
+        run(milliseconds{1500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_vms.maintained.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+    }
+
     /** The answer is lost, and the list shows that the order was carried out. */
     void maintenanceInTheListIsProofOfIt()
     {
