A list with an unnamed executor ends no executor

Now such a list decides nothing, and the leases do.

Seen to fail on: owner_test::inheritedJobsWaitWhileAVmIsListedWithoutItsExecutor; passes now.

--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -215,8 +215,14 @@
 void vm_manager::endReplacedExecutors(boot_time now)
 {
     std::set<executor_id> listed;
-    for (const vm_entry &each : m_vms)
+    bool isComplete = true;
+    for (const vm_entry &each : m_vms) {
         listed.insert(each.executor);
+        isComplete = isComplete && (each.state != vm_state::up || !each.executor.empty());
+    }
+    // A VM that is up without an identifier may have any of the executors.
+    if (!isComplete)
+        return;
     std::vector<executor_id> replaced;
     for (const auto &[id, executor] : m_scheduler.executors().all()) {
         if (executor.inherited && !executor.contacted && !executor.registered
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -218,6 +218,7 @@
     CPPUNIT_TEST(endIsStoredWithTheJob);
     CPPUNIT_TEST(inheritedJobsDoNotWaitForAnExecutorThatWasReplaced);
     CPPUNIT_TEST(inheritedJobsWaitForAnExecutorThatTheListMayNotShowYet);
+    CPPUNIT_TEST(inheritedJobsWaitWhileAVmIsListedWithoutItsExecutor);
     CPPUNIT_TEST(startsNothingWhileTheWatchOfJobsIsSilent);
     CPPUNIT_TEST(withholdsAnOrderThatWaitedThroughAPause);
     CPPUNIT_TEST(withholdsAnOrderWhoseRunWasGivenUp);
@@ -833,6 +834,18 @@
         CPPUNIT_ASSERT(m_gateway.queue.empty());
     }
 
+    /** An entry without an identifier names no other executor: the runs of the known one may go on.
+     */
+    void inheritedJobsWaitWhileAVmIsListedWithoutItsExecutor()
+    {
+        recordLostExecutor(milliseconds{20'000});
+        m_vms.vms.front().executor.clear();
+        startOwner();
+        registerExecutor();
+        run(milliseconds{500});
+        CPPUNIT_ASSERT(m_gateway.queue.empty());
+    }
+
     void startsNothingWhileTheWatchOfJobsIsSilent()
     {
         startOwner();
