--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -1,6 +1,8 @@
 #include <azurelb/scheduling/scheduler.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace azurelb {
@@ -285,12 +287,18 @@
 void scheduler::reconcileUnlistedRuns(executor_entry &executor, const executor_report &report,
                                       const report_proof &proof, boot_time now)
 {
+    std::vector<std::pair<std::reference_wrapper<const task_id>, run_number>> listedRuns;
+    listedRuns.reserve(report.running.size());
+    for (const reported_run &each : report.running)
+        listedRuns.emplace_back(each.task, each.run);
+    const auto isLess = [](const auto &left, const auto &right) {
+        return std::tie(left.first.get(), left.second) < std::tie(right.first.get(), right.second);
+    };
+    std::sort(listedRuns.begin(), listedRuns.end(), isLess);
     std::vector<task_id> ended;
     for (auto &[task, held] : executor.assignments) {
-        const auto isListed = [&task = task, &held = held](const reported_run &each) {
-            return each.task == task && each.run == held.run;
-        };
-        const bool listed = std::any_of(report.running.begin(), report.running.end(), isListed);
+        const bool listed = std::binary_search(listedRuns.begin(), listedRuns.end(),
+                                               std::pair{std::cref(task), held.run}, isLess);
         const bool settled = held.phase == assignment_phase::running
             || (held.phase == assignment_phase::stopping && held.stopConfirmed);
         if (settled && !listed && proof.endsKnown && held.confirmedAt < proof.askedAt)
