--- a/src/azurelb/control/vm_manager.cpp
+++ b/src/azurelb/control/vm_manager.cpp
@@ -39,7 +39,7 @@
         const job_entry *const job = held.longRunning ? jobs.find(task.job) : nullptr;
         if (!job || task.step >= job->record.steps.size())
             continue;
-        const task_id step{task.job, task.occurrence, task.step, 0};
+        const task_id step = stepOf(task);
         const bool known =
             std::any_of(steps.begin(), steps.end(),
                         [&step](const long_running_step &each) { return each.step == step; });
--- a/src/azurelb/jobs/job_step.hpp
+++ b/src/azurelb/jobs/job_step.hpp
@@ -45,6 +45,12 @@
     bool limitsUnavailable{false};
 };
 
+/** Returns whether the number of the step's tasks on one executor matters. */
+[[nodiscard]] constexpr bool isSpread(const job_step &step) noexcept
+{
+    return step.longRunning || step.maxPerExecutor != 0;
+}
+
 /** Resources that one task reserves on its executor. */
 [[nodiscard]] constexpr resources reservation(const job_step &step) noexcept
 {
--- a/src/azurelb/jobs/task_id.hpp
+++ b/src/azurelb/jobs/task_id.hpp
@@ -23,6 +23,12 @@
     [[nodiscard]] friend auto operator<=>(const task_id &, const task_id &) = default;
 };
 
+/** Returns the identifier of the task's step, which is that of its first task. */
+[[nodiscard]] inline task_id stepOf(const task_id &task)
+{
+    return {task.job, task.occurrence, task.step, 0};
+}
+
 /** Returns the identifier as JOB.OCCURRENCE.STEP.INDEX. */
 [[nodiscard]] std::string toString(const task_id &task);
 
--- a/src/azurelb/scheduling/executor_entry.cpp
+++ b/src/azurelb/scheduling/executor_entry.cpp
@@ -11,6 +11,7 @@
     made.team = job.record.team;
     made.teamUsage = step.request;
     made.longRunning = step.longRunning;
+    made.spread = isSpread(step);
     made.backfill = step.backfill;
     made.serving = step.longRunning && !step.backfill && step.latencyTarget.count() > 0;
     made.latencyTarget = step.latencyTarget;
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -36,6 +36,8 @@
     /** Amount that counts against the team's limit. */
     resources teamUsage{};
     bool longRunning{false};
+    /** See isSpread(). */
+    bool spread{false};
     bool backfill{false};
     bool serving{false};
     std::chrono::milliseconds latencyTarget{0};
@@ -127,6 +129,8 @@
     resources used{};
     /** Number of assignments of long-running tasks. */
     std::size_t longRuns{0};
+    /** Numbers of assignments of the steps whose tasks are spread over executors, by stepOf(). */
+    std::unordered_map<task_id, std::size_t> spreadRuns{};
     /** Runs that were given up when their lease expired. Their ends, reported later, count for
         nothing, as their tasks may have been started elsewhere. */
     std::vector<lapsed_run> lapsedRuns{};
@@ -143,6 +147,12 @@
     boot_time idleSince{};
 
     [[nodiscard]] resources free() const noexcept { return info.capacity - used; }
+    /** Returns the number of assignments of a step whose tasks are spread. */
+    [[nodiscard]] std::size_t countRunsOf(const task_id &step) const
+    {
+        const auto found = spreadRuns.find(step);
+        return found == spreadRuns.end() ? 0 : found->second;
+    }
     [[nodiscard]] std::size_t shortRuns() const noexcept { return assignments.size() - longRuns; }
 };
 
--- a/src/azurelb/scheduling/executor_table.cpp
+++ b/src/azurelb/scheduling/executor_table.cpp
@@ -142,6 +142,8 @@
     executor.used += added.reserved;
     executor.longRuns += added.longRunning ? 1 : 0;
     m_teams.add(added.team, added.teamUsage);
+    if (added.spread)
+        ++executor.spreadRuns[stepOf(task)];
     return executor.assignments.insert_or_assign(task, std::move(added)).first->second;
 }
 
@@ -153,6 +155,11 @@
     executor.used -= found->second.reserved;
     executor.longRuns -= found->second.longRunning ? 1 : 0;
     m_teams.remove(found->second.team, found->second.teamUsage);
+    if (found->second.spread) {
+        const auto count = executor.spreadRuns.find(stepOf(task));
+        if (--count->second == 0)
+            executor.spreadRuns.erase(count);
+    }
     executor.assignments.erase(found);
     if (executor.assignments.empty())
         executor.idleSince = now;
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -407,9 +407,13 @@
             const auto &tasks = occurrence.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const task_id task{job.record.id, occurrence.number, step, index};
-                if (!tasks[index].done && !tasks[index].failedRuns.empty()
-                    && countFailedRuns(job, task) >= job.maxAttempts)
+                if (tasks[index].done || tasks[index].failedRuns.empty())
+                    continue;
+                if (countFailedRuns(job, task) >= job.maxAttempts)
                     return true;
+                // The count of a gang is the same for all members.
+                if (job.record.steps[step].gang)
+                    break;
             }
         }
     }
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -19,16 +19,6 @@
 /** Cost of a placement; lower is better, compared lexicographically. */
 using placement_cost = std::array<std::int64_t, 6>;
 
-std::size_t countTasksOfStep(const executor_entry &executor, const task_id &firstTask)
-{
-    return static_cast<std::size_t>(std::count_if(
-        executor.assignments.begin(), executor.assignments.end(), [&firstTask](const auto &each) {
-            const task_id &task = each.first;
-            return task.job == firstTask.job && task.occurrence == firstTask.occurrence
-                && task.step == firstTask.step;
-        }));
-}
-
 /** Returns how often the request fits into the free resources, up to the limit. */
 std::size_t countFitting(const resources &request, const resources &free, std::size_t limit)
 {
@@ -259,7 +249,7 @@
         return nullptr;
     const resources wanted = reservation(jobStep);
     const task_id firstTask{step.job->record.id, step.occurrence->number, step.step, 0};
-    const bool countsTasks = jobStep.longRunning || jobStep.maxPerExecutor != 0;
+    const bool countsTasks = isSpread(jobStep);
     candidate *best = nullptr;
     bool hasRoom = false;
     placement_cost lowest{};
@@ -271,7 +261,7 @@
         if (!hasLabel(each, jobStep.requiredLabel))
             continue;
         const std::size_t tasksOfStep =
-            countsTasks ? countTasksOfStep(each, firstTask) + entry.plannedMembers : 0;
+            countsTasks ? each.countRunsOf(firstTask) + entry.plannedMembers : 0;
         if (jobStep.maxPerExecutor != 0 && tasksOfStep >= jobStep.maxPerExecutor)
             continue;
         if (each.consecutiveFailures >= m_options.suspendAfterFailures
