The members of a gang resume from one checkpoint

Cause: each member resumed from the checkpoint that it had last listed itself, and that of the lost one was older. The protocol asks for the same value in all members, from any of them. Late starts were ruled out: all members of a run started within 10 ms.

The first task of a gang now has the checkpoint of the whole gang, that of the latest run that saved one. Stored progress with one for each member is united when it is loaded, so a takeover from an earlier version is covered.

--- a/src/azurelb/scheduling/executor_reports.cpp
+++ b/src/azurelb/scheduling/executor_reports.cpp
@@ -174,7 +174,7 @@
     assignment *const held = m_executors.find(executor.info.id, end.task);
     const bool isAssigned = held && held->run == end.run;
     if (isAssigned) {
-        m_jobs.recordCheckpoint(end.task, end.checkpoint);
+        m_jobs.recordCheckpoint(end.task, end.run, end.checkpoint);
         dropAssignment(executor, end.task, release_reason::ended, now);
     }
     updateFailureCount(executor, end, now);
@@ -258,7 +258,7 @@
         held->progressChangedAt = now;
     }
     held->reportedMetric = run.reportedMetric;
-    m_jobs.recordCheckpoint(run.task, run.checkpoint);
+    m_jobs.recordCheckpoint(run.task, run.run, run.checkpoint);
 }
 
 void scheduler::adoptRun(executor_entry &executor, const reported_run &run, boot_time now)
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -31,7 +31,10 @@
     /** Its last run that this owner has known of and that has been given up or has ended. Not
         stored. */
     former_run former{};
+    /** Last saved checkpoint; empty for none. The first task of a gang has that of the gang. */
     std::string checkpoint{};
+    /** Run that saved it; 0 if this owner has read it from the store. */
+    run_number checkpointRun{0};
     executor_id executor{};
 };
 
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -100,9 +100,27 @@
             std::count_if(each.steps.begin(), each.steps.end(),
                           [](const step_entry &step) { return step.done == step.tasks.size(); }));
         openSteps(job.record, each);
+        for (std::size_t step = 0; step < each.steps.size(); ++step) {
+            if (job.record.steps[step].gang)
+                uniteCheckpoints(each.steps[step]);
+        }
     }
 }
 
+/** Earlier versions have stored a checkpoint for each member of a gang. Any of them is valid for
+   all members. */
+void job_table::uniteCheckpoints(step_entry &step)
+{
+    const auto saved = std::find_if(step.tasks.begin(), step.tasks.end(),
+                                    [](const auto &task) { return !task.checkpoint.empty(); });
+    if (saved == step.tasks.end())
+        return;
+    const std::string checkpoint = saved->checkpoint;
+    for (task_entry &each : step.tasks)
+        each.checkpoint.clear();
+    step.tasks.front().checkpoint = checkpoint;
+}
+
 void job_table::applyQueueSettings(job_entry &job, const queue_entry &queue) const noexcept
 {
     job.maxAttempts = queue.maxAttempts;
@@ -304,7 +322,7 @@
     markDirty(*job);
 }
 
-void job_table::release(const task_id &task, const std::string &checkpoint)
+void job_table::release(const task_id &task)
 {
     task_entry *const entry = find(task);
     if (!entry)
@@ -314,14 +332,29 @@
         --findStep(task)->assigned;
     }
     entry->executor.clear();
-    recordCheckpoint(task, checkpoint);
 }
 
-void job_table::recordCheckpoint(const task_id &task, const std::string &checkpoint)
+task_entry *job_table::findCheckpointHolder(const task_id &task)
 {
     task_entry *const entry = find(task);
-    if (entry && !checkpoint.empty())
-        entry->checkpoint = checkpoint;
+    const bool isMember = entry && find(task.job)->record.steps[task.step].gang;
+    return isMember ? &findStep(task)->tasks.front() : entry;
+}
+
+void job_table::recordCheckpoint(const task_id &task, run_number run, const std::string &checkpoint)
+{
+    task_entry *const holder = findCheckpointHolder(task);
+    if (!holder || checkpoint.empty() || run < holder->checkpointRun)
+        return;
+    holder->checkpoint = checkpoint;
+    holder->checkpointRun = run;
+}
+
+const std::string &job_table::checkpointOf(const task_id &task)
+{
+    static const std::string none{};
+    const task_entry *const holder = findCheckpointHolder(task);
+    return holder ? holder->checkpoint : none;
 }
 
 end_effect job_table::applyEnd(const ended_run &end, const executor_id &executor, boot_time now)
@@ -337,7 +370,7 @@
     const bool isLatest = end.run > task->lastEndedRun;
     if (isLatest) {
         task->lastEndedRun = end.run;
-        recordCheckpoint(end.task, end.checkpoint);
+        recordCheckpoint(end.task, end.run, end.checkpoint);
         markDirty(*job);
     }
     if (end.end == run_end::failed && !step.longRunning)
--- a/src/azurelb/scheduling/job_table.hpp
+++ b/src/azurelb/scheduling/job_table.hpp
@@ -77,8 +77,8 @@
     /** A start order was not carried out: the job waits again if nothing of it has begun. */
     void recordNotStarted(const job_id &id);
 
-    /** Requeues the task, to resume from the checkpoint unless that is empty. */
-    void release(const task_id &task, const std::string &checkpoint);
+    /** Requeues the task. */
+    void release(const task_id &task);
 
     /** Applies the end of a run. Does not release the assignment. */
     end_effect applyEnd(const ended_run &end, const executor_id &executor, boot_time now);
@@ -86,8 +86,15 @@
     /** Fails the jobs of which a task has failed as often as permitted, and returns them. */
     [[nodiscard]] std::vector<job_id> failExhausted(boot_time now);
 
-    /** Records a checkpoint that a run has saved. Does not mark the job dirty. */
-    void recordCheckpoint(const task_id &task, const std::string &checkpoint);
+    /** Records a checkpoint that a run has saved; that of any member counts for its gang. Does
+        nothing if the checkpoint is empty or a later run has saved one. Does not mark the job
+       dirty.
+     */
+    void recordCheckpoint(const task_id &task, run_number run, const std::string &checkpoint);
+
+    /** Returns the checkpoint from which the next run resumes, the same for all members of a gang;
+        empty for none. */
+    [[nodiscard]] const std::string &checkpointOf(const task_id &task);
 
     /** Returns the progress of the job to be stored. */
     [[nodiscard]] static job_progress progressOf(const job_entry &job);
@@ -113,6 +120,9 @@
     void openOccurrence(job_entry &job, std::uint32_t number, boot_time due);
     void restore(job_entry &job, const job_progress &stored);
     static void openSteps(const job_record &record, occurrence_entry &occurrence);
+    /** Returns the entry that has the task's checkpoint; null for an unknown task. */
+    [[nodiscard]] task_entry *findCheckpointHolder(const task_id &task);
+    static void uniteCheckpoints(step_entry &step);
     static occurrence_entry *findOccurrence(job_entry &job, std::uint32_t number) noexcept;
     /** Removes completed occurrences of which no run is left. */
     static void removeCompletedOccurrences(job_entry &job);
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -308,8 +308,9 @@
     former_run former = entry.former;
     if (former.reason == release_reason::none && step.job->inherited)
         former = {entry.lastEndedRun, release_reason::earlier_owner, former.starts};
-    m_orders.emplace_back(start_order{executor.info.id, task, run, record.spec, entry.checkpoint,
-                                      leaseEnd, executor.info.startedUnixMs, former});
+    m_orders.emplace_back(start_order{executor.info.id, task, run, record.spec,
+                                      m_jobs.checkpointOf(task), leaseEnd,
+                                      executor.info.startedUnixMs, former});
     ++entry.former.starts;
 }
 
--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -195,7 +195,7 @@
     task_entry *const entry = m_jobs.find(task);
     if (entry && entry->executor == executor.info.id) {
         const assignment *const held = m_executors.find(executor.info.id, task);
-        m_jobs.release(task, {});
+        m_jobs.release(task);
         if (reason != release_reason::not_started)
             m_jobs.recordBegun(task.job);
         entry->former = {held ? held->run : entry->former.run, reason, entry->former.starts};
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -601,10 +601,10 @@
         jobs.assign({jobA, 0, 0, 1}, "e1");
         jobs.recordStart(job);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, jobs.countPendingJobs(record.queue));
-        jobs.release({jobA, 0, 0, 0}, {});
+        jobs.release({jobA, 0, 0, 0});
         jobs.recordNotStarted(jobA);
         CPPUNIT_ASSERT(job.state == job_state::running);
-        jobs.release({jobA, 0, 0, 1}, {});
+        jobs.release({jobA, 0, 0, 1});
         jobs.recordNotStarted(jobA);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, jobs.countPendingJobs(record.queue));
         jobs.recordStart(job);
