A rejected member ends the run of its gang

Cause: applyStartOutcome() released the rejected task only.

The other members of that run are stopped at once. An unanswered start still waits for the reports.

Seen to fail on: gang_test::rejectedMemberEndsTheRunOfTheOthers (1 stop expected, was 0); passes now. test_scheduling 89 of 89.

--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -278,6 +278,22 @@
         executor->suspendedUntil = now + rejectionBackoff;
     dropAssignment(*executor, order.task, release_reason::not_started, now);
     m_jobs.recordNotStarted(order.task.job);
+    stopIncompleteGang(order.task, order.run, now);
+}
+
+void scheduler::stopIncompleteGang(const task_id &notStarted, run_number run, boot_time now)
+{
+    const job_entry *const job = m_jobs.find(notStarted.job);
+    const step_entry *const step = m_jobs.findStep(notStarted);
+    if (!job || !step || !job->record.steps[notStarted.step].gang)
+        return;
+    task_id member = stepOf(notStarted);
+    for (; member.index < step->tasks.size(); ++member.index) {
+        executor_entry *const executor = m_executors.find(step->tasks[member.index].executor);
+        assignment *const held = executor ? m_executors.find(executor->info.id, member) : nullptr;
+        if (held && held->run == run && held->phase != assignment_phase::stopping)
+            stopRun(*executor, member, *held, stop_reason::gang_incomplete, now);
+    }
 }
 
 void scheduler::recordAnswerOnOtherClock(const executor_id &id, boot_time now)
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -194,6 +194,9 @@
         its step are unavailable. This also holds for a run that was starting at its last report,
         as it may be available by now. */
     [[nodiscard]] bool mayInterrupt(const task_id &task, boot_time now);
+    /** Stops the other members of a gang's run of which one was not started: they would wait for it
+        in vain. */
+    void stopIncompleteGang(const task_id &notStarted, run_number run, boot_time now);
     void addJobEndNotice(const job_id &id, boot_time now);
     void stopRunsOf(const job_id &id, boot_time now);
     void stopRun(executor_entry &executor, const task_id &task, assignment &held,
--- a/src/azurelb/scheduling/stop_reason.hpp
+++ b/src/azurelb/scheduling/stop_reason.hpp
@@ -19,7 +19,9 @@
     /** Its executor is draining. */
     draining,
     /** Maintenance of its VM is imminent. */
-    maintenance
+    maintenance,
+    /** Another member of its gang was not started. */
+    gang_incomplete
 };
 
 [[nodiscard]] constexpr std::string_view toString(stop_reason reason) noexcept
@@ -37,6 +39,8 @@
         return "draining";
     case stop_reason::maintenance:
         return "maintenance";
+    case stop_reason::gang_incomplete:
+        return "gang-incomplete";
     }
     return "invalid";
 }
--- a/test/azurelb/scheduling/gang_test.cpp
+++ b/test/azurelb/scheduling/gang_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(membersResumeFromOneCheckpoint);
     CPPUNIT_TEST(membersResumeFromOneCheckpointAfterATakeover);
     CPPUNIT_TEST(lateEndKeepsTheCheckpointOfALaterRun);
+    CPPUNIT_TEST(rejectedMemberEndsTheRunOfTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +84,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"0d"}, m_scheduling.jobs().checkpointOf(first[0].task));
     }
 
+    /** Guards against members that wait for one whose start was rejected, and end alone: they hold
+        their resources for seconds, and the gang starts again only then. */
+    void rejectedMemberEndsTheRunOfTheOthers()
+    {
+        m_now += milliseconds{50};
+        m_scheduling.advance(m_now, {}, m_now);
+        const executor_orders orders = m_scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        const auto &started = std::get<start_order>(orders[0]);
+        const auto &rejected = std::get<start_order>(orders[1]);
+        m_scheduling.applyStartOutcome(started, start_outcome::started, m_now);
+        m_scheduling.applyStartOutcome(rejected, start_outcome::unhealthy, m_now);
+        const executor_orders stops = m_scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        CPPUNIT_ASSERT(std::get<stop_order>(stops.front()).task == started.task);
+        reportEnd(started, run_end::stopped, {});
+        const std::vector<start_order> next = place(m_scheduling);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, next.size());
+        for (const start_order &each : next) {
+            CPPUNIT_ASSERT(each.executor != rejected.executor);
+            CPPUNIT_ASSERT(each.run > started.run);
+        }
+    }
+
 private:
     void addExecutor(scheduler &to, const std::string &id) const
     {
