Executors are reserved for a gang that has waited for long

Cause: tasks are placed whenever they fit, and a gang needs room for all members at once.

After 1 s the gang of a pool that has waited for longest gets the executors whose short runs are expected to end first. Others may run there if they are expected to end before the gang starts. Hopeless gangs get no reservation.

Seen to fail on: scheduler_test::gangStartsWhileSmallJobsKeepArriving and gangStartsWhileSmallGangsKeepArriving (expected 1 start, was 0 after 10 s).

--- a/src/azurelb/scheduling/executor_entry.cpp
+++ b/src/azurelb/scheduling/executor_entry.cpp
@@ -1,6 +1,8 @@
 #include <azurelb/scheduling/executor_entry.hpp>
 #include <azurelb/scheduling/job_entry.hpp>
 
+#include <algorithm>
+
 namespace azurelb {
 
 assignment makeAssignment(const job_entry &job, const job_step &step, run_number run)
@@ -19,6 +21,12 @@
     return made;
 }
 
+bool executor_entry::hasLabel(const std::string &label) const
+{
+    return label.empty()
+        || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
 bool isOtherIncarnation(const executor_entry &known, std::int64_t startedUnixMs) noexcept
 {
     return known.info.startedUnixMs != 0 && startedUnixMs != 0
--- a/src/azurelb/scheduling/executor_entry.hpp
+++ b/src/azurelb/scheduling/executor_entry.hpp
@@ -147,6 +147,8 @@
     boot_time idleSince{};
 
     [[nodiscard]] resources free() const noexcept { return info.capacity - used; }
+    /** Returns whether the executor has the label; each has the empty one. */
+    [[nodiscard]] bool hasLabel(const std::string &label) const;
     /** Returns the number of assignments of a step whose tasks are spread. */
     [[nodiscard]] std::size_t countRunsOf(const task_id &step) const
     {
--- a/src/azurelb/scheduling/job_entry.hpp
+++ b/src/azurelb/scheduling/job_entry.hpp
@@ -91,6 +91,8 @@
     std::chrono::milliseconds objective{0};
     /** Estimated processor time of the steps that are not long-running, in core-milliseconds. */
     double shortWorkCoreMs{0};
+    /** A step of it is a gang. */
+    bool hasGang{false};
     /** Positions among the open jobs of the job table, and among those of its pool. */
     std::size_t openIndex{0};
     std::size_t poolIndex{0};
--- a/src/azurelb/scheduling/job_table.cpp
+++ b/src/azurelb/scheduling/job_table.cpp
@@ -65,6 +65,8 @@
     job.maxAttempts = job.record.maxAttempts;
     job.criticalPath = criticalPathLength(job.record.steps);
     job.shortWorkCoreMs = shortWorkCoreMs(job.record.steps);
+    job.hasGang = std::any_of(job.record.steps.begin(), job.record.steps.end(),
+                              [](const job_step &step) { return step.gang; });
     job.state = stored.state;
     job.mayHaveBegun = stored.state != job_state::pending;
     if (isFinal(stored.state)) {
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -19,25 +19,6 @@
 /** Cost of a placement; lower is better, compared lexicographically. */
 using placement_cost = std::array<std::int64_t, 6>;
 
-/** Returns how often the request fits into the free resources, up to the limit. */
-std::size_t countFitting(const resources &request, const resources &free, std::size_t limit)
-{
-    std::size_t count = limit;
-    for (const auto amount : {&resources::cpu, &resources::memory, &resources::accelerators}) {
-        if (free.*amount < request.*amount)
-            return 0;
-        if (request.*amount > 0)
-            count = std::min(count, static_cast<std::size_t>(free.*amount / request.*amount));
-    }
-    return count;
-}
-
-bool hasLabel(const executor_entry &executor, const std::string &label)
-{
-    const auto &labels = executor.info.labels;
-    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 } // namespace
 
 bool scheduler::isUsable(const executor_entry &executor, boot_time now) const
@@ -71,10 +52,7 @@
 {
     std::vector<waiting_step> waiting;
     for (job_entry *const job : m_jobs.openOf(name)) {
-        if (job->inherited && pool.hasUnknownRuns)
-            continue;
-        // The settings of its queue are unknown until the configuration has been read.
-        if (job->record.configVersion > m_catalogue.version)
+        if (!mayPlace(*job, pool))
             continue;
         for (occurrence_entry &occurrence : job->occurrences) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -96,6 +74,13 @@
     return waiting;
 }
 
+bool scheduler::mayPlace(const job_entry &job, const pool_candidates &pool) const
+{
+    // The settings of its queue are unknown until the configuration has been read.
+    return !(job.inherited && pool.hasUnknownRuns)
+        && job.record.configVersion <= m_catalogue.version;
+}
+
 scheduler::pool_candidates scheduler::candidatesOf(const std::string &pool, boot_time now) const
 {
     pool_candidates found;
@@ -125,6 +110,7 @@
         pool_candidates pool = candidatesOf(name, now);
         if (pool.executors.empty())
             continue;
+        reserveForWaitingGang(name, pool, now);
         for (const waiting_step &each : waitingSteps(name, pool, now)) {
             const job_step &step = each.job->record.steps[each.step];
             if (!pool.mayHaveRoom(reservation(step)))
@@ -162,65 +148,6 @@
     }
 }
 
-/** Places all members of the gang or none: a partial gang would hold resources while it waits. */
-void scheduler::placeGang(const waiting_step &step, pool_candidates &pool, boot_time now)
-{
-    if (step.occurrence->steps[step.step].assigned > 0)
-        return;
-    const std::vector<candidate *> chosen = planGang(step, pool);
-    if (chosen.empty())
-        return;
-    const run_number run = ++m_lastRun;
-    for (std::uint32_t index = 0; index < chosen.size(); ++index)
-        startOn(*chosen[index], step, index, run, now);
-    recordStart(step, now);
-}
-
-std::vector<scheduler::candidate *> scheduler::planGang(const waiting_step &step,
-                                                        pool_candidates &pool) const
-{
-    const job_step &jobStep = step.job->record.steps[step.step];
-    const auto &tasks = step.occurrence->steps[step.step].tasks;
-    const team_entry *const team = findTeam(m_catalogue, step.job->record.team);
-    if (!m_executors.teams().admits(team, jobStep.request * jobStep.taskCount)
-        || !mayHoldGang(jobStep, pool))
-        return {};
-    const resources wanted = reservation(jobStep);
-    const std::size_t rejectedBefore = pool.rejected.size();
-    std::vector<candidate *> planned;
-    for (const task_entry &task : tasks) {
-        candidate *const chosen = chooseExecutor(step, task, pool, team);
-        if (!chosen)
-            break;
-        planned.push_back(chosen);
-        const resources room = roomOn(*chosen->executor, ++chosen->plannedMembers);
-        chosen->free = fits({}, room) ? chosen->free - wanted : room;
-    }
-    for (candidate *const each : planned) {
-        each->plannedMembers = 0;
-        each->free = roomOn(*each->executor);
-    }
-    if (planned.size() == tasks.size())
-        return planned;
-    // What the planned members left is not what other steps find.
-    if (!planned.empty())
-        pool.rejected.resize(rejectedBefore);
-    return {};
-}
-
-bool scheduler::mayHoldGang(const job_step &step, const pool_candidates &pool)
-{
-    const resources wanted = reservation(step);
-    std::size_t members = 0;
-    for (const candidate &each : pool.executors) {
-        if (hasLabel(*each.executor, step.requiredLabel))
-            members += std::min(countFitting(wanted, each.free, step.taskCount),
-                                step.maxPerExecutor == 0 ? std::size_t{step.taskCount}
-                                                         : std::size_t{step.maxPerExecutor});
-    }
-    return members >= step.taskCount;
-}
-
 void scheduler::recordStart(const waiting_step &step, boot_time now)
 {
     const job_record &record = step.job->record;
@@ -258,7 +185,9 @@
             continue;
         hasRoom = true;
         const executor_entry &each = *entry.executor;
-        if (!hasLabel(each, jobStep.requiredLabel))
+        if (!each.hasLabel(jobStep.requiredLabel))
+            continue;
+        if (isKeptFrom(step, entry, pool))
             continue;
         const std::size_t tasksOfStep =
             countsTasks ? each.countRunsOf(firstTask) + entry.plannedMembers : 0;
--- a/src/azurelb/scheduling/scheduler.hpp
+++ b/src/azurelb/scheduling/scheduler.hpp
@@ -12,6 +12,7 @@
 #include <azurelb/scheduling/waiting_order.hpp>
 
 #include <chrono>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -154,6 +155,18 @@
         resources free;
         /** Members of the gang that is being planned here. They have no assignment yet. */
         std::size_t plannedMembers{0};
+        /** Time until the executor is expected to be needed for a gang that has waited for long.
+            Other tasks may run there if they end by then. */
+        std::optional<std::chrono::milliseconds> availableFor{};
+    };
+    /** An executor whose short runs are left to end. */
+    struct drain
+    {
+        candidate *from;
+        /** Expected time until they have ended. */
+        std::chrono::milliseconds time;
+        /** Resources that are free then. */
+        resources free;
     };
     /** Executors of a pool during one pass of placement. */
     struct pool_candidates
@@ -163,6 +176,8 @@
         std::vector<resources> rejected{};
         /** Greatest free amount of each resource. */
         resources largestFree{};
+        /** The gang for which executors are reserved. */
+        std::optional<waiting_step> reservedFor{};
         /** An executor of the pool may have runs of an earlier owner and has not answered yet. */
         bool hasUnknownRuns{false};
 
@@ -232,6 +247,18 @@
         candidates and the scheduler are as before. */
     [[nodiscard]] std::vector<candidate *> planGang(const waiting_step &step,
                                                     pool_candidates &pool) const;
+    /** Returns whether the job's tasks may be placed, given what is known of earlier runs and of
+       its queue. */
+    [[nodiscard]] bool mayPlace(const job_entry &job, const pool_candidates &pool) const;
+    /** Reserves executors for the gang of the pool that has waited for longest, if it has waited
+        for long and they would have room for it without their short runs. */
+    void reserveForWaitingGang(const std::string &name, pool_candidates &pool, boot_time now) const;
+    [[nodiscard]] std::vector<waiting_step>
+    gangsThatWaitLong(const std::string &name, const pool_candidates &pool, boot_time now) const;
+    [[nodiscard]] static drain makeDrain(candidate &of, boot_time now);
+    /** Returns whether the executor must be left to the gang for which it is reserved. */
+    [[nodiscard]] static bool isKeptFrom(const waiting_step &step, const candidate &executor,
+                                         const pool_candidates &pool);
     /** Returns false if the executors can't have room for all members, whatever their division. */
     [[nodiscard]] static bool mayHoldGang(const job_step &step, const pool_candidates &pool);
     [[nodiscard]] candidate *chooseExecutor(const waiting_step &step, const task_entry &task,
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -85,6 +85,9 @@
     CPPUNIT_TEST(waitingGangLeavesExecutorsAndRunNumbersAlone);
     CPPUNIT_TEST(stepsThatCannotStartHoldBackNoOtherJob);
     CPPUNIT_TEST(gangSpreadsOverExecutors);
+    CPPUNIT_TEST(gangStartsWhileSmallJobsKeepArriving);
+    CPPUNIT_TEST(gangStartsWhileSmallGangsKeepArriving);
+    CPPUNIT_TEST(longRunDoesNotHoldBackJobsBesideAWaitingGang);
     CPPUNIT_TEST(gangWithoutRoomIsNotStoredAgainAndAgain);
     CPPUNIT_TEST(jobWhoseStartIsRejectedIsPending);
     CPPUNIT_TEST(nothingStartsInEvacuatedZone);
@@ -576,6 +579,73 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_simulation.executor("e2").running().size());
     }
 
+    /** Guards against a gang that never starts, as each resource that becomes free is taken by a
+        task that needs less. */
+    void gangStartsWhileSmallJobsKeepArriving()
+    {
+        addLowerQueue();
+        const auto submitSmall = [this](int number) {
+            job_record small =
+                makeJob(std::string(12, 'b') + std::to_string(1000 + number), 1, 3000);
+            small.queue = "lower";
+            m_simulation.submit(small);
+            m_simulation.advance(milliseconds{100});
+        };
+        for (int number = 0; number < 20; ++number)
+            submitSmall(number);
+        job_record gang = makeJob(jobA, 4, 8000);
+        gang.steps.front().gang = true;
+        m_simulation.submit(gang);
+        for (int number = 20; number < 120; ++number)
+            submitSmall(number);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_simulation.startsOf({jobA, 0, 0, 0}));
+        m_simulation.advance(milliseconds{3000});
+        for (int number = 0; number < 120; ++number) {
+            const std::string id = std::string(12, 'b') + std::to_string(1000 + number);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_simulation.startsOf({id, 0, 0, 0}));
+        }
+    }
+
+    /** The same with small gangs. */
+    void gangStartsWhileSmallGangsKeepArriving()
+    {
+        for (int number = 0; number < 120; ++number) {
+            job_record small =
+                makeJob(std::string(12, 'b') + std::to_string(1000 + number), 2, 1500);
+            small.steps.front().gang = true;
+            m_simulation.submit(small);
+            m_simulation.advance(milliseconds{100});
+            if (number == 20) {
+                job_record gang = makeJob(jobA, 4, 8000);
+                gang.steps.front().gang = true;
+                m_simulation.submit(gang);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_simulation.startsOf({jobA, 0, 0, 0}));
+    }
+
+    /** A gang waits for an executor whose task takes an hour: shorter ones may run there
+        meanwhile. */
+    void longRunDoesNotHoldBackJobsBesideAWaitingGang()
+    {
+        m_simulation.setPlan(runsForAnHour);
+        addLowerQueue();
+        job_record hour = makeJob(jobB, 2, 9000);
+        hour.steps.front().estimate = std::chrono::hours{1};
+        hour.steps.front().maxPerExecutor = 1;
+        m_simulation.submit(hour);
+        m_simulation.advance(milliseconds{500});
+        job_record gang = makeJob(jobA, 4, 8000);
+        gang.steps.front().gang = true;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{8000});
+        job_record other = makeJob("cccccccccccccccc", 2, 6000);
+        other.queue = "lower";
+        m_simulation.submit(other);
+        m_simulation.advance(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, running());
+    }
+
     /** Each pass tries to place it. */
     void gangWithoutRoomIsNotStoredAgainAndAgain()
     {
