A pool keeps the VMs over which a gang must be spread

Cause: only long-running steps counted for the least number of VMs.

Spread gangs count too. A step that needs more VMs than there are counts for none, so that a hopeless job moves no VM.

Seen to fail on: scheduler_test::spreadGangNeedsDistinctExecutors (expected 3, was 0).

--- a/src/azurelb/capacity/pool_planner.cpp
+++ b/src/azurelb/capacity/pool_planner.cpp
@@ -90,8 +90,12 @@
             m_standby = m_standby ? m_standby : &each;
             continue;
         }
-        const std::size_t needed = vmsNeeded(each.load, capacity, options);
-        pool_load arrivals = each.load;
+        pool_load load = each.load;
+        // A step that all VMs together can't hold is no reason to move any of them.
+        if (load.minDistinctExecutors > vms.size())
+            load.minDistinctExecutors = 0;
+        const std::size_t needed = vmsNeeded(load, capacity, options);
+        pool_load arrivals = load;
         arrivals.demand = {};
         arrivals.lateDemand = {};
         m_balances[each.name] = {&each, vmsNeeded(arrivals, capacity, options), needed,
--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -272,7 +272,7 @@
                 (jobStep.longRunning ? load.longRunningDemand : load.demand) += all;
                 if (late && !jobStep.longRunning)
                     load.lateDemand += all;
-                if (jobStep.longRunning && jobStep.maxPerExecutor != 0)
+                if ((jobStep.longRunning || jobStep.gang) && jobStep.maxPerExecutor != 0)
                     load.minDistinctExecutors = std::max(
                         load.minDistinctExecutors,
                         (step.tasks.size() + jobStep.maxPerExecutor - 1) / jobStep.maxPerExecutor);
--- a/test/azurelb/capacity/capacity_test.cpp
+++ b/test/azurelb/capacity/capacity_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(unusedVmsMoveToStandby);
     CPPUNIT_TEST(busyAndReservedVmsStay);
     CPPUNIT_TEST(needsAtLeastMinVmsAndSpread);
+    CPPUNIT_TEST(spreadBeyondAllVmsMovesNone);
     CPPUNIT_TEST(lateJobsNeedFewerVms);
     CPPUNIT_TEST(keepsVmsReadyBetweenBursts);
     CPPUNIT_TEST(readyVmsMoveToThePoolThatNeedsThem);
@@ -115,6 +116,17 @@
         CPPUNIT_ASSERT(plan().size() <= 1);
     }
 
+    void spreadBeyondAllVmsMovesNone()
+    {
+        add("a", 4);
+        add("b", 4);
+        m_pools[0].load.minDistinctExecutors = 6;
+        m_options.minActiveVms = 8;
+        CPPUNIT_ASSERT(!plan().empty());
+        m_pools[0].load.minDistinctExecutors = 9;
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
     void needsAtLeastMinVmsAndSpread()
     {
         pool_load load;
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(waitingGangLeavesExecutorsAndRunNumbersAlone);
     CPPUNIT_TEST(stepsThatCannotStartHoldBackNoOtherJob);
     CPPUNIT_TEST(gangSpreadsOverExecutors);
+    CPPUNIT_TEST(spreadGangNeedsDistinctExecutors);
     CPPUNIT_TEST(gangStartsWhileSmallJobsKeepArriving);
     CPPUNIT_TEST(gangStartsWhileSmallGangsKeepArriving);
     CPPUNIT_TEST(longRunDoesNotHoldBackJobsBesideAWaitingGang);
@@ -579,6 +580,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_simulation.executor("e2").running().size());
     }
 
+    /** Guards against a pool whose VMs move elsewhere although a gang must be spread over them. */
+    void spreadGangNeedsDistinctExecutors()
+    {
+        job_record gang = makeJob(jobA, 6, 1000);
+        gang.steps.front().gang = true;
+        gang.steps.front().maxPerExecutor = 2;
+        m_simulation.submit(gang);
+        m_simulation.advance(milliseconds{200});
+        const auto loads = m_simulation.currentScheduler().poolLoads(m_simulation.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, loads.at("pool").minDistinctExecutors);
+    }
+
     /** Guards against a gang that never starts, as each resource that becomes free is taken by a
         task that needs less. */
     void gangStartsWhileSmallJobsKeepArriving()
