Soak: jobs are cancelled while their submissions are under way

The new kind cancel-under-way pauses a daemon that has submissions to read, and cancels their jobs at another one; no task of a job whose cancellation was answered 410 may run, then or later.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -43,11 +43,13 @@
         scenario.run();
         const auto &audit = scenario.audit();
         std::printf("seed %llu: %zu jobs, %zu starts, %zu faults:%s; %zu starts after done, "
-                    "%zu beside another run; %zu counts checked of up to %zu waiting jobs: %s\n",
+                    "%zu beside another run; %zu counts checked of up to %zu waiting jobs; %zu "
+                    "jobs said not to exist: "
+                    "%s\n",
                     static_cast<unsigned long long>(seed), audit.jobCount(), audit.startCount(),
                     scenario.faultCount(), scenario.faults().c_str(), audit.startsAfterDone(),
                     audit.concurrentStarts(), audit.waitingAnswers(), audit.mostWaiting(),
-                    audit.violations().empty() ? "ok" : "FAILED");
+                    audit.disownedCount(), audit.violations().empty() ? "ok" : "FAILED");
         for (const std::string &each : audit.violations())
             std::printf("  %s\n", each.c_str());
         if (audit.violations().empty())
--- a/test/soak/run_audit.cpp
+++ b/test/soak/run_audit.cpp
@@ -32,6 +32,10 @@
     if (m_refused.contains(task.job))
         addViolation("a task was started although all attempts to submit its job were refused: "
                      + name);
+    if (m_disowned.contains(task.job))
+        addViolation("a task was started although its job was said not to exist when it was "
+                     "cancelled: "
+                     + name);
     const bool wasDone = m_acknowledged.contains(task);
     if (wasDone) {
         ++m_startsAfterDone;
@@ -41,6 +45,13 @@
     m_begun.insert(task.job);
 }
 
+void run_audit::disowned(const job_id &job)
+{
+    m_disowned.insert(job);
+    if (m_begun.contains(job))
+        addViolation("a job was said not to exist although a task of it had begun: " + job);
+}
+
 void run_audit::acknowledged(const task_id &task, bool done, boot_time endedAt)
 {
     if (!done)
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -71,7 +71,7 @@
     submitJob(duration, static_cast<std::uint32_t>(1 + draw(6)), draw(10) == 0);
 }
 
-void soak_caller::submitJob(milliseconds duration, std::uint32_t tasks, bool cancels)
+soak_caller::planned_job soak_caller::makePlan(milliseconds duration, std::uint32_t tasks)
 {
     planned_job plan;
     std::array<char, 17> id{};
@@ -79,10 +79,37 @@
     plan.id = id.data();
     plan.spec = std::to_string(duration.count());
     plan.tasks = tasks;
+    m_audit.submitted(plan.id, plan.spec);
+    return plan;
+}
+
+void soak_caller::submitAndCancel(std::size_t submitAt, std::size_t cancelAt, milliseconds pause)
+{
+    constexpr milliseconds duration{500};
+    const planned_job plan = makePlan(duration, 2);
+    asio::co_spawn(m_loop, call(submitAt, http::verb::post, plan.id, bodyOf(plan.spec, plan.tasks)),
+                   asio::detached);
+    ++m_active;
+    asio::co_spawn(m_loop, cancelDuring(plan, cancelAt, pause), asio::detached);
+}
+
+asio::awaitable<void> soak_caller::cancelDuring(planned_job plan, std::size_t cancelAt,
+                                                milliseconds pause)
+{
+    co_await sleepFor(pause);
+    m_audit.cancelled(plan.id);
+    const call_answer answer = co_await call(cancelAt, http::verb::delete_, plan.id, {});
+    if (answer.status == statusGone)
+        m_audit.disowned(plan.id);
+    --m_active;
+}
+
+void soak_caller::submitJob(milliseconds duration, std::uint32_t tasks, bool cancels)
+{
+    planned_job plan = makePlan(duration, tasks);
     plan.cancels = cancels;
     if (duration >= longDuration)
         m_longJobs.insert(plan.id);
-    m_audit.submitted(plan.id, plan.spec);
     ++m_active;
     asio::co_spawn(m_loop, follow(std::move(plan)), asio::detached);
 }
@@ -96,8 +123,13 @@
 asio::awaitable<soak_caller::call_answer> soak_caller::call(http::verb method, const job_id &job,
                                                             std::string body)
 {
-    auto client =
-        std::make_shared<http_client>(m_loop, m_daemonAddresses.at(draw(m_daemonAddresses.size())));
+    co_return co_await call(draw(m_daemonAddresses.size()), method, job, std::move(body));
+}
+
+asio::awaitable<soak_caller::call_answer> soak_caller::call(std::size_t daemon, http::verb method,
+                                                            job_id job, std::string body)
+{
+    auto client = std::make_shared<http_client>(m_loop, m_daemonAddresses.at(daemon));
     http_request request =
         platform::makeRequest(method, "/plans/" + job, "soak.example", std::move(body));
     request.set(http::field::authorization, "Token key-1");
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -31,6 +31,10 @@
     void submitJob(std::chrono::milliseconds duration);
     void submitJob(std::chrono::milliseconds duration, std::uint32_t tasks, bool cancels);
 
+    /** Submits a job at one daemon, and cancels it at another one before the first has answered. */
+    void submitAndCancel(std::size_t submitAt, std::size_t cancelAt,
+                         std::chrono::milliseconds pause);
+
     /** Asks one of the daemons for the number of waiting jobs, which the audit checks. */
     void askForWaitingJobs();
 
@@ -59,8 +63,14 @@
     boost::asio::awaitable<void> follow(planned_job plan);
     boost::asio::awaitable<bool> submit(const planned_job &plan);
     boost::asio::awaitable<bool> cancel(const planned_job &plan);
+    boost::asio::awaitable<void> cancelDuring(planned_job plan, std::size_t cancelAt,
+                                              std::chrono::milliseconds pause);
+    /** Calls one of the daemons. */
     boost::asio::awaitable<call_answer> call(boost::beast::http::verb method, const job_id &job,
                                              std::string body);
+    boost::asio::awaitable<call_answer> call(std::size_t daemon, boost::beast::http::verb method,
+                                             job_id job, std::string body);
+    [[nodiscard]] planned_job makePlan(std::chrono::milliseconds duration, std::uint32_t tasks);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
     [[nodiscard]] std::size_t draw(std::size_t below);
 
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -53,7 +53,7 @@
 
 } // namespace
 
-const std::array<soak_scenario::fault, 25> soak_scenario::faultTypes{{
+const std::array<soak_scenario::fault, 26> soak_scenario::faultTypes{{
     {"kill", &soak_scenario::killDaemon},
     {"stop", &soak_scenario::terminateDaemon},
     {"pause", &soak_scenario::pauseDaemon},
@@ -79,6 +79,7 @@
     {"store-executes-late", &soak_scenario::executeCommitsLate},
     {"late-records", &soak_scenario::executeExecutorRecordsLate, &soak_scenario::isCutOffOver},
     {"late-counts", &soak_scenario::executeWaitingCountsLate, &soak_scenario::isCutOffOver},
+    {"cancel-under-way", &soak_scenario::cancelSubmissionsUnderWay},
 }};
 
 soak_scenario::soak_scenario(const soak_options &options)
@@ -753,6 +754,23 @@
     m_cutOffUntil = boot_clock::now() + busyTime + registrationTerm;
 }
 
+/** A daemon is paused, and goes on within the time that the submissions wait for their answers. */
+void soak_scenario::cancelSubmissionsUnderWay()
+{
+    constexpr unsigned jobs{3};
+    const std::size_t paused = randomIndex(m_daemons.size());
+    const std::size_t other = (paused + 1 + randomIndex(m_daemons.size() - 1)) % m_daemons.size();
+    soak_daemon &chosen = *m_daemons.at(paused);
+    chosen.signal(SIGSTOP);
+    schedule(randomDuration(800, 2500), [&chosen] { chosen.signal(SIGCONT); });
+    for (unsigned index = 0; index < jobs; ++index) {
+        const milliseconds pause = randomDuration(50, 400);
+        schedule(randomDuration(20, 200), [this, paused, other, pause] {
+            m_callers->submitAndCancel(paused, other, pause);
+        });
+    }
+}
+
 std::string soak_scenario::logs()
 {
     std::ostringstream out;
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -165,8 +165,9 @@
     void executeCommitsLate();
     void executeExecutorRecordsLate();
     void executeWaitingCountsLate();
+    void cancelSubmissionsUnderWay();
 
-    static const std::array<fault, 25> faultTypes;
+    static const std::array<fault, 26> faultTypes;
 
     soak_options m_options;
     boost::asio::io_context m_loop{};
