Superseded late occurrences come behind all other late work

Cause: late work is ordered by slack, and an occurrence of weeks ago has the least.

A late occurrence whose successor is due as well ranks behind other late work.

Seen to fail on: scheduler_test::overdueOccurrencesDoNotHoldBackLateJobs (a task not started after 4.5 s).

--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -19,6 +19,12 @@
 /** Cost of a placement; lower is better, compared lexicographically. */
 using placement_cost = std::array<std::int64_t, 6>;
 
+/** Returns whether the next occurrence of the job is due. */
+bool isSuperseded(const job_record &job, const occurrence_entry &occurrence, boot_time now)
+{
+    return occurrence.number + 1 < job.repeats && occurrence.due + job.interval <= now;
+}
+
 } // namespace
 
 bool scheduler::isUsable(const executor_entry &executor, boot_time now) const
@@ -61,10 +67,13 @@
                 if (!step.open || step.done + step.assigned >= step.tasks.size()
                     || !fits(reservation(jobStep), pool.largestFree))
                     continue;
-                const waiting_facts facts{
-                    jobStep.longRunning, job->priority,
-                    occurrence.stepsDone != 0 || step.assigned != 0, occurrence.due,
-                    occurrence.due + job->objective - now - occurrence.remainingPath};
+                const waiting_facts facts{jobStep.longRunning,
+                                          job->priority,
+                                          occurrence.stepsDone != 0 || step.assigned != 0,
+                                          occurrence.due,
+                                          isSuperseded(job->record, occurrence, now),
+                                          occurrence.due + job->objective - now
+                                              - occurrence.remainingPath};
                 waiting.push_back({job, &occurrence, index, rankOf(facts, m_options.order)});
             }
         }
--- a/src/azurelb/scheduling/waiting_order.cpp
+++ b/src/azurelb/scheduling/waiting_order.cpp
@@ -30,7 +30,11 @@
 {
     const bool late = !facts.longRunning && facts.slack.count() < 0;
     const bool newAndInTime = !facts.started && !late;
-    return {late, !facts.longRunning, facts.priority, !facts.started,
+    return {late && facts.superseded,
+            late,
+            !facts.longRunning,
+            facts.priority,
+            !facts.started,
             newAndInTime ? sortKeyFunctions[static_cast<std::size_t>(order)](facts) : facts.slack};
 }
 
--- a/src/azurelb/scheduling/waiting_order.hpp
+++ b/src/azurelb/scheduling/waiting_order.hpp
@@ -19,6 +19,8 @@
     bool started{false};
     /** When its occurrence became due. */
     boot_time due{};
+    /** The next occurrence of its job has become due as well. */
+    bool superseded{false};
     /** Time between the expected completion of the remaining critical path and the objective. */
     std::chrono::milliseconds slack{0};
 };
@@ -26,6 +28,7 @@
 /** Place of a step in the order of placement; the lowest rank is placed first. */
 struct waiting_rank
 {
+    bool superseded{false};
     bool late{false};
     bool shortRunning{false};
     std::int32_t priority{0};
@@ -42,7 +45,8 @@
  * jobs can meet their objective. Long-running tasks are placed first, then by priority. Of equal
  * priority, jobs that have started go before new ones, by their slack; new ones by the order. Jobs
  * that have missed their objective go last, as completing them late is worth little to their
- * callers.
+ * callers. Behind them come late occurrences after which another one is due already: a job may have
+ * any number of them.
  */
 [[nodiscard]] waiting_rank rankOf(const waiting_facts &facts, queue_order order);
 
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(startsWholeGangOrNothing);
     CPPUNIT_TEST(overdueOccurrencesAreOpenedAFewAtATime);
     CPPUNIT_TEST(eachOverdueOccurrenceRunsOnce);
+    CPPUNIT_TEST(overdueOccurrencesDoNotHoldBackLateJobs);
     CPPUNIT_TEST(gangWithoutRoomIsPending);
     CPPUNIT_TEST(gangWithoutRoomHoldsBackNoOtherJob);
     CPPUNIT_TEST(waitingGangLeavesExecutorsAndRunNumbersAlone);
@@ -708,6 +709,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, jobs.find(jobB)->occurrences.size());
     }
 
+    /** Guards against a job that waits behind all overdue occurrences of another one once it is
+        late itself: both are late, and the occurrences by far more. */
+    void overdueOccurrencesDoNotHoldBackLateJobs()
+    {
+        job_record overdue = withOverdueOccurrences(400, 1);
+        overdue.interval = std::chrono::seconds{1};
+        m_simulation.submit(overdue);
+        m_simulation.advance(milliseconds{200});
+        // The job takes three rounds of all executors and is late after the first one.
+        constexpr std::uint32_t tasks{96};
+        m_simulation.submit(makeJob(jobB, tasks));
+        m_simulation.advance(milliseconds{4500});
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_simulation.startsOf({jobB, 0, 0, index}));
+    }
+
     void eachOverdueOccurrenceRunsOnce()
     {
         constexpr std::uint32_t repeats{2500};
