--- a/test/soak/run_audit.cpp
+++ b/test/soak/run_audit.cpp
@@ -70,13 +70,16 @@
         addViolation("the end of a run was acknowledged after a later start: " + toString(task));
 }
 
-void run_audit::completed(const job_id &job, std::uint32_t tasks)
+void run_audit::completed(const job_id &job, std::uint32_t occurrences, std::uint32_t tasks)
 {
     ended(job);
-    for (std::uint32_t index = 0; index < tasks; ++index) {
-        if (!m_done.contains({job, 0, 0, index}))
-            addViolation("a job was reported as completed before its task succeeded: "
-                         + toString({job, 0, 0, index}));
+    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            const task_id task{job, occurrence, 0, index};
+            if (!m_done.contains(task))
+                addViolation("a job was reported as completed before its task succeeded: "
+                             + toString(task));
+        }
     }
 }
 
--- a/test/soak/run_audit.hpp
+++ b/test/soak/run_audit.hpp
@@ -35,7 +35,7 @@
     void acknowledged(const task_id &task, bool done, boot_time endedAt);
 
     /** A caller received the state "completed" for the job. */
-    void completed(const job_id &job, std::uint32_t tasks);
+    void completed(const job_id &job, std::uint32_t occurrences, std::uint32_t tasks);
 
     /** A caller was told how many jobs wait; its request was sent at the given time. */
     void waiting(std::size_t count, boot_time askedAt);
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -37,10 +37,15 @@
 constexpr unsigned statusServiceUnavailable{503};
 constexpr unsigned statusGone{410};
 
-std::string bodyOf(const std::string &spec, std::uint32_t tasks)
+json::object jobOf(const std::string &spec, std::uint32_t tasks)
 {
-    const json::object step{{"Count", tasks}, {"Cpu", 1000}, {"MemMb", 512}, {"EstimateMs", 500}};
-    return json::serialize(json::object{{"Spec", spec}, {"Phases", json::array{step}}});
+    json::object step{{"Count", tasks}, {"Cpu", 1000}, {"MemMb", 512}, {"EstimateMs", 500}};
+    return {{"Spec", spec}, {"Phases", json::array{std::move(step)}}};
+}
+
+std::string pathOf(const std::string &queue, const job_id &job)
+{
+    return '/' + queue + '/' + job;
 }
 
 } // namespace
@@ -79,6 +84,7 @@
     plan.id = id.data();
     plan.spec = std::to_string(duration.count());
     plan.tasks = tasks;
+    plan.body = json::serialize(jobOf(plan.spec, tasks));
     m_audit.submitted(plan.id, plan.spec);
     return plan;
 }
@@ -87,18 +93,70 @@
 {
     constexpr milliseconds duration{500};
     const planned_job plan = makePlan(duration, 2);
-    asio::co_spawn(m_loop, call(submitAt, http::verb::post, plan.id, bodyOf(plan.spec, plan.tasks)),
+    asio::co_spawn(m_loop, call(submitAt, http::verb::post, pathOf(plan.queue, plan.id), plan.body),
                    asio::detached);
     ++m_active;
     asio::co_spawn(m_loop, cancelDuring(plan, cancelAt, pause), asio::detached);
 }
 
+void soak_caller::submitHopelessGang()
+{
+    constexpr std::uint32_t members{2000};
+    planned_job plan = makePlan(milliseconds{500}, members);
+    json::object job = jobOf(plan.spec, members);
+    job["Phases"].at(0).as_object()["Gang"] = true;
+    plan.body = json::serialize(job);
+    plan.queue = "urgent";
+    startUnfollowed(std::move(plan));
+}
+
+void soak_caller::submitOverdueOccurrences()
+{
+    constexpr milliseconds duration{50};
+    planned_job plan = makePlan(duration, 1);
+    json::object job = jobOf(plan.spec, 1);
+    job["Repeats"] = 100'000;
+    job["IntervalMs"] = 60'000;
+    plan.body = json::serialize(job);
+    startUnfollowed(std::move(plan));
+}
+
+void soak_caller::submitScheduledJob()
+{
+    constexpr std::uint32_t repeats{3};
+    constexpr milliseconds interval{400};
+    planned_job plan = makePlan(milliseconds{300}, 2);
+    plan.repeats = repeats;
+    json::object job = jobOf(plan.spec, plan.tasks);
+    job["Repeats"] = repeats;
+    job["FirstRunMs"] = unixNow().count();
+    job["IntervalMs"] = interval.count();
+    plan.body = json::serialize(job);
+    ++m_active;
+    asio::co_spawn(m_loop, follow(std::move(plan)), asio::detached);
+}
+
+void soak_caller::startUnfollowed(planned_job plan)
+{
+    // Nothing is owed for it.
+    m_audit.cancelled(plan.id);
+    ++m_active;
+    asio::co_spawn(m_loop, submitUnfollowed(std::move(plan)), asio::detached);
+}
+
+asio::awaitable<void> soak_caller::submitUnfollowed(planned_job plan)
+{
+    (void)co_await submit(plan);
+    --m_active;
+}
+
 asio::awaitable<void> soak_caller::cancelDuring(planned_job plan, std::size_t cancelAt,
                                                 milliseconds pause)
 {
     co_await sleepFor(pause);
     m_audit.cancelled(plan.id);
-    const call_answer answer = co_await call(cancelAt, http::verb::delete_, plan.id, {});
+    const call_answer answer =
+        co_await call(cancelAt, http::verb::delete_, pathOf(plan.queue, plan.id), {});
     if (answer.status == statusGone)
         m_audit.disowned(plan.id);
     --m_active;
@@ -120,18 +178,17 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<soak_caller::call_answer> soak_caller::call(http::verb method, const job_id &job,
-                                                            std::string body)
+asio::awaitable<soak_caller::call_answer>
+soak_caller::call(http::verb method, const std::string &path, std::string body)
 {
-    co_return co_await call(draw(m_daemonAddresses.size()), method, job, std::move(body));
+    co_return co_await call(draw(m_daemonAddresses.size()), method, path, std::move(body));
 }
 
 asio::awaitable<soak_caller::call_answer> soak_caller::call(std::size_t daemon, http::verb method,
-                                                            job_id job, std::string body)
+                                                            std::string path, std::string body)
 {
     auto client = std::make_shared<http_client>(m_loop, m_daemonAddresses.at(daemon));
-    http_request request =
-        platform::makeRequest(method, "/plans/" + job, "soak.example", std::move(body));
+    http_request request = platform::makeRequest(method, path, "soak.example", std::move(body));
     request.set(http::field::authorization, "Token key-1");
     request.set("X-Deadline-Ms", std::to_string(callLimits.total.count()));
     const auto outcome = co_await awaitCallback<http_outcome>(m_loop, [&](auto done) {
@@ -149,7 +206,7 @@
     bool uncertain = false;
     for (unsigned attempt = 0; attempt < maxAttempts; ++attempt) {
         const call_answer answer =
-            co_await call(http::verb::post, plan.id, bodyOf(plan.spec, plan.tasks));
+            co_await call(http::verb::post, pathOf(plan.queue, plan.id), plan.body);
         if (answer.status == statusOk)
             co_return true;
         uncertain = uncertain
@@ -166,7 +223,7 @@
 {
     // Recorded before the call, because its answer may be lost.
     m_audit.cancelled(plan.id);
-    const call_answer answer = co_await call(http::verb::delete_, plan.id, {});
+    const call_answer answer = co_await call(http::verb::delete_, pathOf(plan.queue, plan.id), {});
     co_return answer.status == statusOk || answer.status == statusGone;
 }
 
@@ -178,7 +235,7 @@
 asio::awaitable<void> soak_caller::checkWaitingJobs()
 {
     const boot_time askedAt = boot_clock::now();
-    const call_answer answer = co_await call(http::verb::get, {}, {});
+    const call_answer answer = co_await call(http::verb::get, "/plans/", {});
     const auto body = platform::parseObject(answer.body);
     if (answer.status == statusOk && body)
         m_audit.waiting(platform::countOf(*body, "Waiting", maxWaitingJobs), askedAt);
@@ -198,14 +255,14 @@
             co_await sleepFor(pollInterval);
             continue;
         }
-        const call_answer answer = co_await call(http::verb::get, plan.id, {});
+        const call_answer answer = co_await call(http::verb::get, pathOf(plan.queue, plan.id), {});
         if (answer.status == statusGone)
             m_audit.addViolation("an accepted job is unknown to the daemon: " + plan.id);
         const auto body = platform::parseObject(answer.body);
         const std::string state =
             body ? platform::textOf(*body, "State").value_or("") : std::string{};
         if (state == "completed")
-            m_audit.completed(plan.id, plan.tasks);
+            m_audit.completed(plan.id, std::max(plan.repeats, 1U), plan.tasks);
         if (state == "failed")
             m_audit.ended(plan.id);
         if (state == "cancelled")
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -31,6 +31,14 @@
     void submitJob(std::chrono::milliseconds duration);
     void submitJob(std::chrono::milliseconds duration, std::uint32_t tasks, bool cancels);
 
+    /** Submits a job that needs not end: a gang that no pool has room for. */
+    void submitHopelessGang();
+    /** Submits a job that needs not end: many occurrences of a short task, all of them overdue. */
+    void submitOverdueOccurrences();
+    /** Submits a scheduled job of three occurrences, the first of which is due at once, and polls
+       it until it ends. */
+    void submitScheduledJob();
+
     /** Submits a job at one daemon, and cancels it at another one before the first has answered. */
     void submitAndCancel(std::size_t submitAt, std::size_t cancelAt,
                          std::chrono::milliseconds pause);
@@ -57,19 +65,27 @@
         std::string spec{};
         std::uint32_t tasks{1};
         bool cancels{false};
+        /** Number of occurrences; 0 for a job that is not scheduled. */
+        std::uint32_t repeats{0};
+        std::string queue{"plans"};
+        /** Body of the submission. */
+        std::string body{};
     };
 
     boost::asio::awaitable<void> checkWaitingJobs();
     boost::asio::awaitable<void> follow(planned_job plan);
     boost::asio::awaitable<bool> submit(const planned_job &plan);
     boost::asio::awaitable<bool> cancel(const planned_job &plan);
+    /** Submits the job until it is accepted, and does not ask for it any more. */
+    boost::asio::awaitable<void> submitUnfollowed(planned_job plan);
+    void startUnfollowed(planned_job plan);
     boost::asio::awaitable<void> cancelDuring(planned_job plan, std::size_t cancelAt,
                                               std::chrono::milliseconds pause);
     /** Calls one of the daemons. */
-    boost::asio::awaitable<call_answer> call(boost::beast::http::verb method, const job_id &job,
-                                             std::string body);
+    boost::asio::awaitable<call_answer> call(boost::beast::http::verb method,
+                                             const std::string &path, std::string body);
     boost::asio::awaitable<call_answer> call(std::size_t daemon, boost::beast::http::verb method,
-                                             job_id job, std::string body);
+                                             std::string path, std::string body);
     [[nodiscard]] planned_job makePlan(std::chrono::milliseconds duration, std::uint32_t tasks);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
     [[nodiscard]] std::size_t draw(std::size_t below);
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds longRecoveryTime{45'000};
 constexpr milliseconds submitInterval{120};
 constexpr std::size_t maxActiveCallers{40};
+/** On average, one job of so many is scheduled. */
+constexpr std::size_t jobsPerScheduled{12};
 /** Executors that restart together in recutExecutor(), at most. */
 constexpr std::size_t maxRecutExecutors{4};
 /** Jobs submitted as they restart: two orders are in flight for each executor, the others wait. */
@@ -53,7 +55,7 @@
 
 } // namespace
 
-const std::array<soak_scenario::fault, 26> soak_scenario::faultTypes{{
+const std::array<soak_scenario::fault, 28> soak_scenario::faultTypes{{
     {"kill", &soak_scenario::killDaemon},
     {"stop", &soak_scenario::terminateDaemon},
     {"pause", &soak_scenario::pauseDaemon},
@@ -80,6 +82,9 @@
     {"late-records", &soak_scenario::executeExecutorRecordsLate, &soak_scenario::isCutOffOver},
     {"late-counts", &soak_scenario::executeWaitingCountsLate, &soak_scenario::isCutOffOver},
     {"cancel-under-way", &soak_scenario::cancelSubmissionsUnderWay},
+    {"hopeless-gang", &soak_scenario::submitHopelessGang, &soak_scenario::hasNoHopelessGang},
+    {"overdue-occurrences", &soak_scenario::submitOverdueOccurrences,
+     &soak_scenario::hasNoOverdueOccurrences},
 }};
 
 soak_scenario::soak_scenario(const soak_options &options)
@@ -166,13 +171,17 @@
 void soak_scenario::writeConfiguration()
 {
     const json::object queue{
-        {"Name", "plans"}, {"Host", "soak.example"}, {"Prefix", "/plans/"},    {"Service", "pool"},
-        {"Attempts", 4},   {"Stretch", 2.0},         {"TargetDurationMs", 500}};
+        {"Name", "plans"}, {"Host", "soak.example"}, {"Prefix", "/plans/"},     {"Service", "pool"},
+        {"Attempts", 4},   {"Stretch", 2.0},         {"TargetDurationMs", 500}, {"Priority", 1}};
+    json::object urgent = queue;
+    urgent["Name"] = "urgent";
+    urgent["Prefix"] = "/urgent/";
+    urgent["Priority"] = 0;
     const json::object team{{"Name", "lecco"}, {"ApiKeys", json::array{"key-1"}}, {"Weight", 100}};
     m_store.state().put(
         "op/config",
         json::serialize(json::object{{"Version", 1},
-                                     {"Routes", json::array{queue}},
+                                     {"Routes", json::array{queue, urgent}},
                                      {"Services", json::array{json::object{{"Name", "pool"}}}},
                                      {"Tenants", json::array{team}},
                                      {"Limits", json::object{}}}));
@@ -218,7 +227,10 @@
         if (!withFaults)
             continue;
         if (now >= nextJob && m_callers->activeCount() < maxActiveCallers) {
-            m_callers->submitJob();
+            if (randomIndex(jobsPerScheduled) == 0)
+                m_callers->submitScheduledJob();
+            else
+                m_callers->submitJob();
             nextJob = now + submitInterval;
         }
         if (now >= nextFault) {
@@ -771,6 +783,20 @@
     }
 }
 
+/** It waits for as long as the scenario lasts. */
+void soak_scenario::submitHopelessGang()
+{
+    m_hasHopelessGang = true;
+    m_callers->submitHopelessGang();
+}
+
+/** They are worked off for as long as the scenario lasts. */
+void soak_scenario::submitOverdueOccurrences()
+{
+    m_hasOverdueOccurrences = true;
+    m_callers->submitOverdueOccurrences();
+}
+
 std::string soak_scenario::logs()
 {
     std::ostringstream out;
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -166,8 +166,12 @@
     void executeExecutorRecordsLate();
     void executeWaitingCountsLate();
     void cancelSubmissionsUnderWay();
+    void submitHopelessGang();
+    [[nodiscard]] bool hasNoHopelessGang() { return !m_hasHopelessGang; }
+    void submitOverdueOccurrences();
+    [[nodiscard]] bool hasNoOverdueOccurrences() { return !m_hasOverdueOccurrences; }
 
-    static const std::array<fault, 26> faultTypes;
+    static const std::array<fault, 28> faultTypes;
 
     soak_options m_options;
     boost::asio::io_context m_loop{};
@@ -184,6 +188,8 @@
     boot_time m_cutOffUntil{};
     std::string m_faults{};
     std::size_t m_faultCount{0};
+    bool m_hasHopelessGang{false};
+    bool m_hasOverdueOccurrences{false};
     /** Timers that end faults. */
     std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers{};
 };
