Late work is ordered by the number of later occurrences that are due

Cause: put all superseded occurrences into one class, in which the least slack, that of the backlog, still came first.

The number of later occurrences that are due takes the place of that class, the lowest first. It is 0 for all jobs that are not scheduled, whose order is unchanged.

--- a/src/azurelb/scheduling/placement.cpp
+++ b/src/azurelb/scheduling/placement.cpp
@@ -19,10 +19,17 @@
 /** Cost of a placement; lower is better, compared lexicographically. */
 using placement_cost = std::array<std::int64_t, 6>;
 
-/** Returns whether the next occurrence of the job is due. */
-bool isSuperseded(const job_record &job, const occurrence_entry &occurrence, boot_time now)
+/** Returns how many later occurrences of the job are due. */
+std::uint32_t countLaterDue(const job_record &job, const occurrence_entry &occurrence,
+                            boot_time now)
 {
-    return occurrence.number + 1 < job.repeats && occurrence.due + job.interval <= now;
+    if (job.repeats == 0 || now < occurrence.due)
+        return 0;
+    const std::uint32_t later = job.repeats - 1 - std::min(occurrence.number, job.repeats - 1);
+    if (job.interval.count() <= 0)
+        return later;
+    return static_cast<std::uint32_t>(
+        std::min<std::int64_t>(later, (now - occurrence.due) / job.interval));
 }
 
 } // namespace
@@ -71,7 +78,7 @@
                                           job->priority,
                                           occurrence.stepsDone != 0 || step.assigned != 0,
                                           occurrence.due,
-                                          isSuperseded(job->record, occurrence, now),
+                                          countLaterDue(job->record, occurrence, now),
                                           occurrence.due + job->objective - now
                                               - occurrence.remainingPath};
                 waiting.push_back({job, &occurrence, index, rankOf(facts, m_options.order)});
--- a/src/azurelb/scheduling/waiting_order.cpp
+++ b/src/azurelb/scheduling/waiting_order.cpp
@@ -30,7 +30,7 @@
 {
     const bool late = !facts.longRunning && facts.slack.count() < 0;
     const bool newAndInTime = !facts.started && !late;
-    return {late && facts.superseded,
+    return {late ? facts.laterDue : 0,
             late,
             !facts.longRunning,
             facts.priority,
--- a/src/azurelb/scheduling/waiting_order.hpp
+++ b/src/azurelb/scheduling/waiting_order.hpp
@@ -19,8 +19,8 @@
     bool started{false};
     /** When its occurrence became due. */
     boot_time due{};
-    /** The next occurrence of its job has become due as well. */
-    bool superseded{false};
+    /** Number of later occurrences of its job that are due as well. */
+    std::uint32_t laterDue{0};
     /** Time between the expected completion of the remaining critical path and the objective. */
     std::chrono::milliseconds slack{0};
 };
@@ -28,7 +28,8 @@
 /** Place of a step in the order of placement; the lowest rank is placed first. */
 struct waiting_rank
 {
-    bool superseded{false};
+    /** Of late steps only. */
+    std::uint32_t laterDue{0};
     bool late{false};
     bool shortRunning{false};
     std::int32_t priority{0};
@@ -45,8 +46,8 @@
  * jobs can meet their objective. Long-running tasks are placed first, then by priority. Of equal
  * priority, jobs that have started go before new ones, by their slack; new ones by the order. Jobs
  * that have missed their objective go last, as completing them late is worth little to their
- * callers. Behind them come late occurrences after which another one is due already: a job may have
- * any number of them.
+ * callers. Among them, those of jobs with fewer occurrences due come first: a job may have any
+ * number of overdue occurrences.
  */
 [[nodiscard]] waiting_rank rankOf(const waiting_facts &facts, queue_order order);
 
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(overdueOccurrencesAreOpenedAFewAtATime);
     CPPUNIT_TEST(eachOverdueOccurrenceRunsOnce);
     CPPUNIT_TEST(overdueOccurrencesDoNotHoldBackLateJobs);
+    CPPUNIT_TEST(overdueOccurrencesDoNotHoldBackOtherScheduledJobs);
     CPPUNIT_TEST(gangWithoutRoomIsPending);
     CPPUNIT_TEST(gangWithoutRoomHoldsBackNoOtherJob);
     CPPUNIT_TEST(waitingGangLeavesExecutorsAndRunNumbersAlone);
@@ -725,6 +726,29 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_simulation.startsOf({jobB, 0, 0, index}));
     }
 
+    /** The same with a job of three occurrences, the first two of which are late and overtaken by
+        the last. */
+    void overdueOccurrencesDoNotHoldBackOtherScheduledJobs()
+    {
+        constexpr std::uint32_t tasks{48};
+        job_record overdue = withOverdueOccurrences(400, 1);
+        overdue.interval = std::chrono::seconds{1};
+        m_simulation.submit(overdue);
+        m_simulation.advance(milliseconds{200});
+        job_record scheduled = makeJob(jobB, tasks);
+        scheduled.repeats = 3;
+        scheduled.interval = std::chrono::seconds{1};
+        scheduled.firstDue = std::chrono::duration_cast<milliseconds>(
+            m_simulation.now().time_since_epoch() - 2 * scheduled.interval);
+        m_simulation.submit(scheduled);
+        m_simulation.advance(milliseconds{6500});
+        for (std::uint32_t occurrence = 0; occurrence < 3; ++occurrence) {
+            for (std::uint32_t index = 0; index < tasks; ++index)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                     m_simulation.startsOf({jobB, occurrence, 0, index}));
+        }
+    }
+
     void eachOverdueOccurrenceRunsOnce()
     {
         constexpr std::uint32_t repeats{2500};
