--- a/test/soak/executor_endpoint.cpp
+++ b/test/soak/executor_endpoint.cpp
@@ -133,13 +133,13 @@
     return json::serialize(unnamed);
 }
 
-std::string executor_endpoint::vmEntry() const
+std::string executor_endpoint::vmEntry(const std::string &state) const
 {
     const executor_registration &info = m_model.info();
     return json::serialize(json::object{
         {"Machine", info.vm},
         {"Pool", info.pool},
-        {"State", "up"},
+        {"State", state},
         {"Zone", info.zone},
         {"FreeCapacity",
          json::object{{"Cpu", executorCapacity.cpu}, {"MemMb", executorCapacity.memory}}},
--- a/test/soak/executor_endpoint.hpp
+++ b/test/soak/executor_endpoint.hpp
@@ -42,8 +42,8 @@
     [[nodiscard]] std::string registration(const std::string &address) const;
     /** As registration(), without the time of the start, which names the incarnation. */
     [[nodiscard]] std::string unnamedRegistration(const std::string &address) const;
-    /** Entry of its VM in the VM list. */
-    [[nodiscard]] std::string vmEntry() const;
+    /** Entry of its VM in the VM list, in the given state. */
+    [[nodiscard]] std::string vmEntry(const std::string &state) const;
 
     /** Ends the runs that finish or whose lease expires by now. */
     void advance(boot_time now);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -6,13 +6,16 @@
 #include <cstdint>
 #include <cstdio>
 #include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
 
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_uint32(seeds, 1, "number of consecutive seeds to run");
 DEFINE_double(fault_s, 10, "seconds during which faults are injected, before the recovery phase");
 DEFINE_uint32(daemons, 4, "number of azurelb_platformd processes");
 DEFINE_uint32(executors, 8, "number of simulated executors");
-DEFINE_string(only, "", "name of the only fault to inject; empty for all of them");
+DEFINE_string(only, "", "names of the only faults to inject, separated by commas; empty for all");
 DEFINE_bool(odd_entries, true,
             "whether the store holds entries that name no executor and no daemon; earlier landings "
             "do not start with them");
@@ -25,9 +28,14 @@
         "fault-injection soak test of azurelb_platformd; AZURELB_BUILD is the build folder");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     (void)std::setvbuf(stdout, nullptr, _IOLBF, 0);
-    if (!FLAGS_only.empty() && !azurelb::soak::soak_scenario::isFault(FLAGS_only)) {
-        std::fprintf(stderr, "no such fault: %s\n", FLAGS_only.c_str());
-        return 2;
+    std::set<std::string> only;
+    std::istringstream names{FLAGS_only};
+    for (std::string name; std::getline(names, name, ',');) {
+        if (!azurelb::soak::soak_scenario::isFault(name)) {
+            std::fprintf(stderr, "no such fault: %s\n", name.c_str());
+            return 2;
+        }
+        only.insert(name);
     }
     unsigned failed = 0;
     for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed) {
@@ -36,7 +44,7 @@
         options.daemons = FLAGS_daemons;
         options.executors = FLAGS_executors;
         options.oddEntries = FLAGS_odd_entries;
-        options.onlyFault = FLAGS_only;
+        options.onlyFaults = only;
         options.faultTime =
             std::chrono::milliseconds{static_cast<std::int64_t>(FLAGS_fault_s * 1000)};
         azurelb::soak::soak_scenario scenario{options};
--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -22,9 +22,11 @@
 constexpr milliseconds recoveryTime{25'000};
 /** Covers two runs of the longest task in addition; every accepted job must end within it. */
 constexpr milliseconds longRecoveryTime{45'000};
+constexpr std::chrono::seconds waveDeadline{20};
+constexpr milliseconds maintenanceTime{2000};
 constexpr milliseconds submitInterval{120};
 constexpr std::size_t maxActiveCallers{40};
-/** On average, one job of so many is scheduled. */
+/** One job of so many is scheduled. */
 constexpr std::size_t jobsPerScheduled{12};
 /** Executors that restart together in recutExecutor(), at most. */
 constexpr std::size_t maxRecutExecutors{4};
@@ -55,7 +57,7 @@
 
 } // namespace
 
-const std::array<soak_scenario::fault, 28> soak_scenario::faultTypes{{
+const std::array<soak_scenario::fault, 29> soak_scenario::faultTypes{{
     {"kill", &soak_scenario::killDaemon},
     {"stop", &soak_scenario::terminateDaemon},
     {"pause", &soak_scenario::pauseDaemon},
@@ -82,6 +84,7 @@
     {"late-records", &soak_scenario::executeExecutorRecordsLate, &soak_scenario::isCutOffOver},
     {"late-counts", &soak_scenario::executeWaitingCountsLate, &soak_scenario::isCutOffOver},
     {"cancel-under-way", &soak_scenario::cancelSubmissionsUnderWay},
+    {"wave-of-new-vm", &soak_scenario::requestWaveOfNewVm, &soak_scenario::hasFewAddedVms},
     {"hopeless-gang", &soak_scenario::submitHopelessGang, &soak_scenario::hasNoHopelessGang},
     {"overdue-occurrences", &soak_scenario::submitOverdueOccurrences,
      &soak_scenario::hasNoOverdueOccurrences},
@@ -90,11 +93,9 @@
 soak_scenario::soak_scenario(const soak_options &options)
     : m_options{options}
     , m_random{options.seed}
-    , m_store{m_loop, [this] {
-                  std::string list;
-                  for (const soak_executor &each : m_executors)
-                      list += (list.empty() ? "" : ",") + each.endpoint->vmEntry();
-                  return R"({"Machines":[)" + list + R"(],"NextToken":""})";
+    , m_store{m_loop, [this] { return listVms(); },
+              [this](const std::string &vm, std::int64_t wave) {
+                  return maintain(vm, wave);
               }}
 {
     addExecutors();
@@ -122,11 +123,27 @@
 {
     return std::any_of(faultTypes.begin(), faultTypes.end(), [this](const fault &each) {
         return each.needsClosingExecutors
-            && (m_options.onlyFault.empty() || m_options.onlyFault == each.name);
+            && (m_options.onlyFaults.empty() || m_options.onlyFaults.contains(each.name));
     });
 }
 
+std::string soak_scenario::listVms() const
+{
+    std::string list;
+    for (const soak_executor &each : m_executors) {
+        const bool isUp = boot_clock::now() >= each.inMaintenanceUntil;
+        list += (list.empty() ? "" : ",") + each.endpoint->vmEntry(isUp ? "up" : "upkeep");
+    }
+    return R"({"Machines":[)" + list + R"(],"NextToken":""})";
+}
+
 void soak_scenario::addExecutors()
+{
+    for (std::size_t index = 0; index < m_options.executors; ++index)
+        addExecutor();
+}
+
+void soak_scenario::addExecutor()
 {
     const auto countRuns = [this](const task_id &task) {
         return static_cast<std::size_t>(std::count_if(
@@ -135,23 +152,20 @@
                 return each.endpoint->model().running().contains(task);
             }));
     };
-    for (std::size_t index = 0; index < m_options.executors; ++index) {
-        soak_executor added;
-        added.id = "i-" + std::to_string(index);
-        // Executor clocks may run up to 2 % slow.
-        added.endpoint = std::make_unique<executor_endpoint>(m_loop, added.id, m_audit, countRuns,
-                                                             index % 2 == 0 ? 1.0 : 0.98);
-        added.closesConnections = hasClosingExecutors() && index % executorsPerClosing == 0;
-        if (added.closesConnections)
-            added.endpoint->closeConnections();
-        added.proxy = std::make_unique<standin::forwarder>(
-            m_loop, soak_caller::endpoint{boost::asio::ip::address_v4::loopback(), 0},
-            soak_caller::endpoint{boost::asio::ip::address_v4::loopback(), added.endpoint->port()});
-        m_store.state().put(
-            "servers/" + added.id,
-            added.endpoint->registration(standin::toString(added.proxy->address())));
-        m_executors.push_back(std::move(added));
-    }
+    const std::size_t index = m_executors.size();
+    soak_executor added;
+    added.id = "i-" + std::to_string(index);
+    // Executor clocks may run up to 2 % slow.
+    added.endpoint = std::make_unique<executor_endpoint>(m_loop, added.id, m_audit, countRuns,
+                                                         index % 2 == 0 ? 1.0 : 0.98);
+    added.closesConnections = hasClosingExecutors() && index % executorsPerClosing == 0;
+    if (added.closesConnections)
+        added.endpoint->closeConnections();
+    added.proxy = std::make_unique<standin::forwarder>(
+        m_loop, soak_caller::endpoint{boost::asio::ip::address_v4::loopback(), 0},
+        soak_caller::endpoint{boost::asio::ip::address_v4::loopback(), added.endpoint->port()});
+    m_executors.push_back(std::move(added));
+    registerExecutor(m_executors.back());
 }
 
 /** Entries of other writers, which name no executor and no daemon. */
@@ -201,6 +215,7 @@
             m_audit.addViolation("an accepted job with short tasks has not ended: " + job);
     }
     awaitJobs(clearedAt + longRecoveryTime);
+    awaitWaves(clearedAt + longRecoveryTime);
     if (m_audit.jobCount() == 0)
         m_audit.addViolation("no job was accepted, so nothing was checked");
     for (const job_id &job : m_audit.unfinishedJobs())
@@ -224,10 +239,11 @@
         m_store.expireLeases(now);
         for (soak_executor &each : m_executors)
             each.endpoint->advance(now);
+        checkWaves();
         if (!withFaults)
             continue;
         if (now >= nextJob && m_callers->activeCount() < maxActiveCallers) {
-            if (randomIndex(jobsPerScheduled) == 0)
+            if (++m_submitted % jobsPerScheduled == 0)
                 m_callers->submitScheduledJob();
             else
                 m_callers->submitJob();
@@ -243,11 +259,12 @@
 
 void soak_scenario::injectRandomFault()
 {
-    const auto only = std::find_if(faultTypes.begin(), faultTypes.end(), [this](const fault &each) {
-        return m_options.onlyFault == each.name;
-    });
-    const fault &chosen =
-        only == faultTypes.end() ? faultTypes.at(randomIndex(faultTypes.size())) : *only;
+    std::vector<const fault *> allowed;
+    for (const fault &each : faultTypes) {
+        if (m_options.onlyFaults.empty() || m_options.onlyFaults.contains(each.name))
+            allowed.push_back(&each);
+    }
+    const fault &chosen = *allowed.at(allowed.size() == 1 ? 0 : randomIndex(allowed.size()));
     if (chosen.isPossible && !(this->*chosen.isPossible)())
         return;
     m_faults += std::string{" "} + chosen.name;
@@ -761,7 +778,7 @@
     for (unsigned index = 0; index < manyJobs; ++index)
         schedule(manyJobsFrom + milliseconds{10} * index, submitShortJob);
     // Other faults may leave the fleet without an owner for longer than the bound.
-    if (!m_options.onlyFault.empty())
+    if (!m_options.onlyFaults.empty())
         askForWaitingJobsDuring(busyTime);
     m_cutOffUntil = boot_clock::now() + busyTime + registrationTerm;
 }
@@ -797,6 +814,71 @@
     m_callers->submitOverdueOccurrences();
 }
 
+/** A VM is added, and its maintenance requested before the daemons have read the list again. */
+void soak_scenario::requestWaveOfNewVm()
+{
+    addExecutor();
+    const std::string vm = m_executors.back().endpoint->model().info().vm;
+    schedule(randomDuration(100, 800), [this, vm] { requestWave(vm); });
+}
+
+void soak_scenario::requestWave(const std::string &vm)
+{
+    const auto number = static_cast<std::int64_t>(m_waves.size()) + 1;
+    m_waves[number] = {vm};
+    m_store.state().put("op/wave/" + std::to_string(number),
+                        json::serialize(json::object{{"Wave", number},
+                                                     {"Machines", json::array{vm}},
+                                                     {"DeadlineS", waveDeadline.count()},
+                                                     {"MaxCount", 1}}));
+}
+
+bool soak_scenario::maintain(const std::string &vm, std::int64_t wave)
+{
+    const auto requested = m_waves.find(wave);
+    const auto found =
+        std::find_if(m_executors.begin(), m_executors.end(), [&vm](const soak_executor &each) {
+            return each.endpoint->model().info().vm == vm;
+        });
+    if (requested == m_waves.end() || requested->second.vm != vm || found == m_executors.end())
+        return false;
+    if (std::exchange(requested->second.begun, true))
+        return true;
+    soak_executor &executor = *found;
+    executor.inMaintenanceUntil = boot_clock::now() + maintenanceTime;
+    endIncarnation(executor);
+    m_store.state().remove("servers/" + executor.id);
+    schedule(maintenanceTime, [this, &executor] { registerExecutor(executor); });
+    return true;
+}
+
+void soak_scenario::checkWaves()
+{
+    for (auto &[number, wave] : m_waves) {
+        const keyspace_item *const state =
+            m_store.state().find("status/wave/" + std::to_string(number));
+        if (wave.completed || !state || state->value.find("completed") == std::string::npos)
+            continue;
+        wave.completed = true;
+        if (!wave.begun)
+            m_audit.addViolation("a wave was shown as completed without the maintenance of "
+                                 + wave.vm);
+    }
+}
+
+void soak_scenario::awaitWaves(boot_time latest)
+{
+    const auto isOpen = [](const auto &each) {
+        return !each.second.completed;
+    };
+    while (boot_clock::now() < latest && std::any_of(m_waves.begin(), m_waves.end(), isOpen))
+        runFor(milliseconds{200}, false);
+    for (const auto &[number, wave] : m_waves) {
+        if (!wave.completed)
+            m_audit.addViolation("a wave has not been completed: " + std::to_string(number));
+    }
+}
+
 std::string soak_scenario::logs()
 {
     std::ostringstream out;
--- a/test/soak/soak_scenario.hpp
+++ b/test/soak/soak_scenario.hpp
@@ -14,9 +14,12 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,8 +33,8 @@
     std::chrono::milliseconds faultTime{10'000};
     /** Whether the store holds entries that name no executor and no daemon. */
     bool oddEntries{true};
-    /** Name of the only fault to inject; empty for all of them. */
-    std::string onlyFault{};
+    /** Names of the only faults to inject; empty for all of them. */
+    std::set<std::string> onlyFaults{};
 };
 
 /**
@@ -63,6 +66,17 @@
         bool closesConnections{false};
         /** Its entry in the directory names no incarnation. */
         bool hasUnnamedEntry{false};
+        /** Its VM is in maintenance until then. */
+        boot_time inMaintenanceUntil{};
+    };
+    /** Maintenance wave over one VM. */
+    struct requested_wave
+    {
+        std::string vm{};
+        /** The VM has begun its maintenance. */
+        bool begun{false};
+        /** The daemons have shown the wave as completed. */
+        bool completed{false};
     };
     struct fault
     {
@@ -94,6 +108,15 @@
     using executor_list = std::vector<soak_executor *>;
 
     void addExecutors();
+    void addExecutor();
+    /** Returns the platform's list of VMs. */
+    [[nodiscard]] std::string listVms() const;
+    /** Begins the maintenance of a VM, as the daemons order it. */
+    bool maintain(const std::string &vm, std::int64_t wave);
+    void requestWave(const std::string &vm);
+    /** Checks that waves shown as completed are so. */
+    void checkWaves();
+    void awaitWaves(boot_time latest);
     void putOddEntries();
     void writeConfiguration();
     void runFor(std::chrono::milliseconds time, bool withFaults);
@@ -167,18 +190,24 @@
     void executeWaitingCountsLate();
     void cancelSubmissionsUnderWay();
     void submitHopelessGang();
+    void requestWaveOfNewVm();
+    [[nodiscard]] bool hasFewAddedVms() { return m_waves.size() < maxAddedVms; }
     [[nodiscard]] bool hasNoHopelessGang() { return !m_hasHopelessGang; }
     void submitOverdueOccurrences();
     [[nodiscard]] bool hasNoOverdueOccurrences() { return !m_hasOverdueOccurrences; }
 
-    static const std::array<fault, 28> faultTypes;
+    /** VMs that are added in a run. */
+    static constexpr std::size_t maxAddedVms{8};
+    static const std::array<fault, 29> faultTypes;
 
     soak_options m_options;
     boost::asio::io_context m_loop{};
     std::mt19937 m_random;
     run_audit m_audit{};
     store_endpoint m_store;
-    std::vector<soak_executor> m_executors{};
+    /** A deque, as timers refer to the elements. */
+    std::deque<soak_executor> m_executors{};
+    std::map<std::int64_t, requested_wave> m_waves{};
     std::vector<std::unique_ptr<soak_daemon>> m_daemons{};
     std::unique_ptr<soak_caller> m_callers{};
     std::int64_t m_configVersion{1};
@@ -188,6 +217,8 @@
     boot_time m_cutOffUntil{};
     std::string m_faults{};
     std::size_t m_faultCount{0};
+    /** Jobs submitted by the usual traffic. */
+    std::size_t m_submitted{0};
     bool m_hasHopelessGang{false};
     bool m_hasOverdueOccurrences{false};
     /** Timers that end faults. */
--- a/test/soak/store_endpoint.cpp
+++ b/test/soak/store_endpoint.cpp
@@ -96,9 +96,11 @@
 
 } // namespace
 
-store_endpoint::store_endpoint(asio::io_context &loop, vm_list_source vms)
+store_endpoint::store_endpoint(asio::io_context &loop, vm_list_source vms,
+                               maintenance_handler maintain)
     : m_loop{loop}
     , m_vms{std::move(vms)}
+    , m_maintain{std::move(maintain)}
     , m_state{loop}
     , m_server{loop, "127.0.0.1:0", {}, [this](const http_request &request) {
                    return serve(request);
@@ -133,6 +135,8 @@
     const std::string target{request.target().data(), request.target().size()};
     if (target.starts_with("/azurelb/machines"))
         co_return jsonResponse(http::status::ok, m_vms());
+    if (target.starts_with("/azurelb/machine-upkeep"))
+        co_return maintain(request.body());
     if (m_faults.delay.count() > 0)
         (void)co_await sleepFor(m_faults.delay);
     if (m_faults.down)
@@ -155,6 +159,17 @@
     co_return reply(http::status::conflict, {{"Reason", "busy"}});
 }
 
+http_response store_endpoint::maintain(const std::string &body)
+{
+    const auto in = platform::parseObject(body);
+    if (!in)
+        return reply(http::status::bad_request, {});
+    const bool begun = m_maintain(platform::textOf(*in, "Machine").value_or(""),
+                                  platform::integerOf(*in, "Wave").value_or(0));
+    return begun ? reply(http::status::ok, {})
+                 : reply(http::status::conflict, {{"Reason", "busy"}});
+}
+
 store_endpoint::answer store_endpoint::read(const std::string &target)
 {
     const bool single = target.starts_with("/azurelb/kv-key");
--- a/test/soak/store_endpoint.hpp
+++ b/test/soak/store_endpoint.hpp
@@ -37,8 +37,10 @@
 {
 public:
     using vm_list_source = std::function<std::string()>;
+    /** Carries out the maintenance of a VM for a wave; returns false if it is not possible. */
+    using maintenance_handler = std::function<bool(const std::string &vm, std::int64_t wave)>;
 
-    store_endpoint(boost::asio::io_context &loop, vm_list_source vms);
+    store_endpoint(boost::asio::io_context &loop, vm_list_source vms, maintenance_handler maintain);
 
     [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
     [[nodiscard]] test::fake_keyspace &state() noexcept { return m_state; }
@@ -56,12 +58,14 @@
     answer commit(const std::string &body);
     [[nodiscard]] bool isExecutedLate(const keyspace_operations &write);
     boost::asio::awaitable<void> executeLater(keyspace_operations write);
+    [[nodiscard]] http_response maintain(const std::string &body);
     answer grant(const std::string &body);
     answer renew(const std::string &target);
     answer sleepFor(std::chrono::milliseconds time);
 
     boost::asio::io_context &m_loop;
     vm_list_source m_vms;
+    maintenance_handler m_maintain;
     test::fake_keyspace m_state;
     store_faults m_faults{};
     unsigned m_commits{0};
