A member on an ended executor ends the run of its gang

The same as with a rejected start, when the order meets another incarnation: the executor was ended, and the other members of the gang waited until they ended alone.

Seen to fail on: gang_test::memberOnAnEndedExecutorEndsTheRunOfTheOthers (1 stop expected, was 0); passes now. test_scheduling 96 of 96.

--- a/src/azurelb/scheduling/scheduler.cpp
+++ b/src/azurelb/scheduling/scheduler.cpp
@@ -251,6 +251,7 @@
         && executor->info.startedUnixMs == order.startedUnixMs)
     {
         endExecutor(order.executor, now);
+        stopIncompleteGang(order.task, order.run, now);
         return;
     }
     // An order in flight at the restart may be carried out by the new incarnation until now.
--- a/test/azurelb/scheduling/gang_test.cpp
+++ b/test/azurelb/scheduling/gang_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(membersResumeFromOneCheckpointAfterATakeover);
     CPPUNIT_TEST(lateEndKeepsTheCheckpointOfALaterRun);
     CPPUNIT_TEST(rejectedMemberEndsTheRunOfTheOthers);
+    CPPUNIT_TEST(memberOnAnEndedExecutorEndsTheRunOfTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,6 +109,21 @@
         }
     }
 
+    /** The same with an executor that turns out to have ended. */
+    void memberOnAnEndedExecutorEndsTheRunOfTheOthers()
+    {
+        m_now += milliseconds{50};
+        m_scheduling.advance(m_now, {}, m_now);
+        const executor_orders orders = m_scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders.size());
+        m_scheduling.applyStartOutcome(std::get<start_order>(orders[1]),
+                                       start_outcome::other_incarnation, m_now);
+        const executor_orders stops = m_scheduling.takeOrders();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
+        CPPUNIT_ASSERT(std::get<stop_order>(stops.front()).task
+                       == std::get<start_order>(orders[0]).task);
+    }
+
 private:
     void addExecutor(scheduler &to, const std::string &id) const
     {
