--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -57,7 +57,7 @@
                     static_cast<unsigned long long>(seed), audit.jobCount(), audit.startCount(),
                     scenario.faultCount(), scenario.faults().c_str(), audit.startsAfterDone(),
                     audit.concurrentStarts(), audit.waitingAnswers(), audit.mostWaiting(),
-                    audit.disownedCount(), audit.violations().empty() ? "ok" : "FAILED");
+                    audit.unknownJobCount(), audit.violations().empty() ? "ok" : "FAILED");
         for (const std::string &each : audit.violations())
             std::printf("  %s\n", each.c_str());
         if (audit.violations().empty())
--- a/test/soak/run_audit.cpp
+++ b/test/soak/run_audit.cpp
@@ -32,7 +32,7 @@
     if (m_refused.contains(task.job))
         addViolation("a task was started although all attempts to submit its job were refused: "
                      + name);
-    if (m_disowned.contains(task.job))
+    if (m_unknownJobs.contains(task.job))
         addViolation("a task was started although its job was said not to exist when it was "
                      "cancelled: "
                      + name);
@@ -45,9 +45,9 @@
     m_begun.insert(task.job);
 }
 
-void run_audit::disowned(const job_id &job)
+void run_audit::reportedUnknown(const job_id &job)
 {
-    m_disowned.insert(job);
+    m_unknownJobs.insert(job);
     if (m_begun.contains(job))
         addViolation("a job was said not to exist although a task of it had begun: " + job);
 }
--- a/test/soak/run_audit.hpp
+++ b/test/soak/run_audit.hpp
@@ -24,7 +24,7 @@
     void cancelled(const job_id &job) { m_cancelled.insert(job); }
     /** A caller that had submitted the job without an answer cancelled it, and was told that it
        does not exist: none of its tasks may run, before or after. */
-    void disowned(const job_id &job);
+    void reportedUnknown(const job_id &job);
 
     /** An executor starts a run while otherRuns runs of the same task are active. */
     void started(const task_id &task, const std::string &spec, std::size_t otherRuns,
@@ -60,7 +60,7 @@
     /** Greatest number of jobs that had to be counted as waiting. */
     [[nodiscard]] std::size_t mostWaiting() const noexcept { return m_mostWaiting; }
     /** Cancellations that were answered as those of an unknown job. */
-    [[nodiscard]] std::size_t disownedCount() const noexcept { return m_disowned.size(); }
+    [[nodiscard]] std::size_t unknownJobCount() const noexcept { return m_unknownJobs.size(); }
     [[nodiscard]] std::size_t jobCount() const noexcept { return m_accepted.size(); }
 
 private:
@@ -75,7 +75,7 @@
     std::map<job_id, boot_time> m_accepted{};
     std::set<job_id> m_refused{};
     std::set<job_id> m_cancelled{};
-    std::set<job_id> m_disowned{};
+    std::set<job_id> m_unknownJobs{};
     std::set<job_id> m_ended{};
     /** Tasks with a successful run. */
     std::set<task_id> m_done{};
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -158,7 +158,7 @@
     const call_answer answer =
         co_await call(cancelAt, http::verb::delete_, pathOf(plan.queue, plan.id), {});
     if (answer.status == statusGone)
-        m_audit.disowned(plan.id);
+        m_audit.reportedUnknown(plan.id);
     --m_active;
 }
 
