Soak: each changed configuration has a version of its own

change-configuration counted versions but wrote version 1 each time, so daemons never had an older configuration than another. The version written is now the one counted.

--- a/test/soak/soak_scenario.cpp
+++ b/test/soak/soak_scenario.cpp
@@ -194,7 +194,7 @@
     const json::object team{{"Name", "lecco"}, {"ApiKeys", json::array{"key-1"}}, {"Weight", 100}};
     m_store.state().put(
         "op/config",
-        json::serialize(json::object{{"Version", 1},
+        json::serialize(json::object{{"Version", m_configVersion},
                                      {"Routes", json::array{queue, urgent}},
                                      {"Services", json::array{json::object{{"Name", "pool"}}}},
                                      {"Tenants", json::array{team}},
