--- a/src/azurelb/intake/intake_outcome.hpp
+++ b/src/azurelb/intake/intake_outcome.hpp
@@ -16,7 +16,7 @@
     missing,
     /** The job was rejected when it was submitted earlier. */
     rejected_before,
-    /** The caller was told that the job is cancelled; it has not run and will not. */
+    /** The job was cancelled before it was accepted; it has not run and will not. */
     cancelled_before
 };
 
--- a/test/azurelb/control/owner_test.cpp
+++ b/test/azurelb/control/owner_test.cpp
@@ -134,7 +134,9 @@
     void setToken(std::int64_t) override { }
     void list(list_handler done) override
     {
-        if (!vms.empty())
+        if (isAway)
+            done({});
+        else if (!vms.empty())
             done({true, vms});
     }
     void move(const std::string &vm, const std::string &pool, send_permission,
@@ -163,6 +165,8 @@
     send_permission mayMaintain{};
     bool answersMaintenance{false};
     bool refusesMaintenance{false};
+    /** The list can't be read. */
+    bool isAway{false};
 };
 
 class fake_directory final : public executor_directory
@@ -201,6 +205,7 @@
     CPPUNIT_TEST(deadlineOfAWaveSurvivesATakeover);
     CPPUNIT_TEST(newExecutorIsNoProofOfMaintenance);
     CPPUNIT_TEST(waveIncludesAVmThatTheListDoesNotShowYet);
+    CPPUNIT_TEST(waveIncludesAVmThatCameWhileTheListWasAway);
     CPPUNIT_TEST(waveIsCompletedWithoutAVmThatHasLeft);
     CPPUNIT_TEST(vmThatLeavesDuringItsMaintenanceFreesItsPlace);
     CPPUNIT_TEST(changedWaveIncludesItsNewVms);
@@ -583,6 +588,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
     }
 
+    /** The same for as long as the list can't be read. */
+    void waveIncludesAVmThatCameWhileTheListWasAway()
+    {
+        m_vms.answersMaintenance = true;
+        startFleetOfOneVm();
+        m_vms.isAway = true;
+        m_vms.vms.push_back({"added", "pool", vm_state::up, "zone", {8000, 8000, 0}, "e2"});
+        registerExecutor("e2", "added");
+        requestWave({"added"});
+        run(milliseconds{4000});
+        CPPUNIT_ASSERT_EQUAL(std::string{"open"}, m_store.find(waveStateKey)->value);
+        m_vms.isAway = false;
+        run(milliseconds{2200});
+        CPPUNIT_ASSERT((m_vms.maintained == std::vector<std::string>{"added"}));
+        CPPUNIT_ASSERT_EQUAL(std::string{"done"}, m_store.find(waveStateKey)->value);
+    }
+
     /** Guards against a wave that stays open for a VM that has been removed. */
     void waveIsCompletedWithoutAVmThatHasLeft()
     {
--- a/test/azurelb/scheduling/scheduler_test.cpp
+++ b/test/azurelb/scheduling/scheduler_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(evictionOfStartingRunsRespectsMaxUnavailable);
     CPPUNIT_TEST(startsWholeGangOrNothing);
     CPPUNIT_TEST(overdueOccurrencesAreOpenedAFewAtATime);
+    CPPUNIT_TEST(successorOpensAFewOverdueOccurrencesAtATime);
     CPPUNIT_TEST(eachOverdueOccurrenceRunsOnce);
     CPPUNIT_TEST(overdueOccurrencesDoNotHoldBackLateJobs);
     CPPUNIT_TEST(overdueOccurrencesDoNotHoldBackOtherScheduledJobs);
@@ -710,6 +711,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, jobs.find(jobB)->occurrences.size());
     }
 
+    /** The same after a takeover, behind the occurrences that are completed. */
+    void successorOpensAFewOverdueOccurrencesAtATime()
+    {
+        job_progress stored;
+        stored.state = job_state::running;
+        stored.completedOccurrences.insert(0, 49'999);
+        stored.completedOccurrences.insert(50'002);
+        job_table jobs;
+        jobs.add(withOverdueOccurrences(100'000, 1), stored, 1, true, m_simulation.now());
+        jobs.openDueOccurrences(m_simulation.now(), std::chrono::hours{1'000'000});
+        const auto &open = jobs.find(jobA)->occurrences;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, open.size());
+        CPPUNIT_ASSERT_EQUAL(50'000U, open.front().number);
+        CPPUNIT_ASSERT_EQUAL(51'000U, open.back().number);
+    }
+
     /** Guards against a job that waits behind all overdue occurrences of another one once it is
         late itself: both are late, and the occurrences by far more. */
     void overdueOccurrencesDoNotHoldBackLateJobs()
--- a/test/scheduler_bench/overdue_occurrences.cpp
+++ b/test/scheduler_bench/overdue_occurrences.cpp
@@ -24,11 +24,11 @@
     return "executor" + std::to_string(index);
 }
 
-/** A pool of three executors and one scheduled job whose occurrences are all due. */
-class overdue_job
+/** A pool of three executors and scheduled jobs whose occurrences are all due. */
+class overdue_jobs
 {
 public:
-    overdue_job(std::uint32_t repeats, std::uint32_t tasks)
+    overdue_jobs(std::uint32_t repeats, std::uint32_t tasks, std::int64_t jobs)
     {
         for (std::size_t index = 0; index < executorCount; ++index) {
             executor_registration info;
@@ -43,7 +43,6 @@
             reportAllDone(index);
         }
         job_record job;
-        job.id = jobName;
         job.queue = "queue";
         job.pool = "pool";
         job.repeats = repeats;
@@ -52,7 +51,10 @@
         job.steps.front().taskCount = tasks;
         job.steps.front().request = {500, 64, 0};
         job.steps.front().estimate = milliseconds{50};
-        m_scheduler.addJob(job, {}, 0, false, m_now);
+        for (std::int64_t index = 0; index < jobs; ++index) {
+            job.id = index == 0 ? jobName : std::to_string(1'000'000'000'000'000 + index);
+            m_scheduler.addJob(job, {}, 0, false, m_now);
+        }
     }
 
     /** Handles one event after the other; returns the longest. */
@@ -105,28 +107,29 @@
 };
 
 /** Longest event of an owner, its memory and the stored progress, by the number of occurrences that
-    are due and of tasks in each. */
+    are due, of tasks in each, and of such jobs. */
 void overdueOccurrences(benchmark::State &state)
 {
     for (auto each : state) {
         (void)each;
         const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
-        overdue_job job{static_cast<std::uint32_t>(state.range(0)),
-                        static_cast<std::uint32_t>(state.range(1))};
-        state.counters["longest_ms"] = job.longestEvent().count();
+        overdue_jobs jobs{static_cast<std::uint32_t>(state.range(0)),
+                          static_cast<std::uint32_t>(state.range(1)), state.range(2)};
+        state.counters["longest_ms"] = jobs.longestEvent().count();
         state.counters["heap_mb"] =
             static_cast<double>(mallinfo2().uordblks + mallinfo2().hblkhd - before) / 1e6;
-        state.counters["progress_bytes"] = static_cast<double>(job.progressBytes);
+        state.counters["progress_bytes"] = static_cast<double>(jobs.progressBytes);
     }
 }
 
 BENCHMARK(overdueOccurrences)
-    ->Args({20, 1})
-    ->Args({1000, 1})
-    ->Args({10'000, 1})
-    ->Args({100'000, 1})
-    ->Args({100, 2000})
-    ->Args({1000, 200})
+    ->Args({20, 1, 1})
+    ->Args({1000, 1, 1})
+    ->Args({10'000, 1, 1})
+    ->Args({100'000, 1, 1})
+    ->Args({100'000, 1, 30})
+    ->Args({100, 2000, 1})
+    ->Args({1000, 200, 1})
     ->Unit(benchmark::kMillisecond)
     ->Iterations(1);
 
